--- /dev/null
+++ b/broker/broker.go
@@ -0,0 +1,173 @@
+// Package broker is the boundary between the decision module and whatever carries its traffic.
+// It holds types only: what a front tells the module, and what the module asks the front to do.
+package broker
+
+import (
+	"math"
+	"time"
+)
+
+// NodeID names a store node as the wire writes it.
+type NodeID struct {
+	Addr [4]byte
+	Port uint16
+}
+
+// Effect tells what repeating a part does.
+type Effect uint8
+
+const (
+	Idempotent Effect = iota
+	Tokened
+	NonIdempotent
+)
+
+// NoBoot stands in Entry.Boot for a node that started long ago.
+const NoBoot = time.Duration(math.MinInt64)
+
+// ListState is a node's state in the list.
+type ListState uint8
+
+const (
+	Draining ListState = iota
+	Gone
+	Ready
+)
+
+// Entry is one line of the node list.
+type Entry struct {
+	Node  NodeID
+	Cell  int
+	State ListState
+	Boot  time.Duration
+}
+
+// EventKind tells which fields of an Event hold.
+type EventKind uint8
+
+const (
+	ListFull   EventKind = iota + 1 // Entries: the whole list
+	ListDelta                       // Entries: the lines that changed
+	ListFailed                      // an ask failed or the watch broke
+	SearchIn                        // ID, Serial, Type, Tenant, Left
+	PartIn                          // ID, Serial, Shard, Weight
+	Ended                           // ID, Attempt, Outcome, Took, Node
+	Woken                           // a wake asked for came due
+	Left                            // ID: the client has gone
+	PeerSaid                        // From, Text
+)
+
+// Outcome tells how a sub-request ended.
+type Outcome uint8
+
+const (
+	Errored Outcome = iota
+	OK
+	Refused
+	TimedOut
+	ConnectFailed
+	Reset
+	Cancelled
+	NeverSent
+)
+
+// Event is one thing that happened. Times are spans since the broker's start.
+type Event struct {
+	Kind    EventKind
+	Outcome Outcome
+	Type    int
+	Tenant  int
+	Shard   int
+	Attempt uint16
+	Serial  float32
+	Node    NodeID
+	ID      uint64
+	Weight  float64
+	Left    time.Duration
+	Took    time.Duration
+	Entries []Entry
+	From    uint32
+	Text    []byte
+}
+
+// ActionKind tells which fields of an Action hold.
+type ActionKind uint8
+
+const (
+	Send      ActionKind = iota + 1 // ID, Node
+	Shed                            // ID, After
+	Fail                            // ID
+	Answer                          // ID, Whole
+	Cancel                          // ID, Attempt
+	Wake                            // At
+	Subscribe                       // ask for the list and its changes
+	Log                             // Text
+)
+
+// Action is one thing the module wants done.
+type Action struct {
+	Kind    ActionKind
+	Whole   bool
+	Attempt uint16
+	Node    NodeID
+	ID      uint64
+	At      time.Duration
+	After   time.Duration
+	Text    string
+}
+
+// SearchType holds the terms of one query type.
+type SearchType struct {
+	Target    time.Duration // answered inside this, a search earns its full value
+	Timeout   time.Duration
+	Value     float64
+	LateShare float64
+	Effect    Effect
+	Window    time.Duration // tokened: how long repeats are dropped
+	Floor     float64       // least share of the parts' weight for an answer
+	Need      float64       // share that makes a whole answer
+	Partial   float64       // what an answer below Need earns of its share
+	Fetch     int           // parts of a second step; 0: one step
+}
+
+// Tenant holds one customer's terms.
+type Tenant struct {
+	Portion float64
+	Quota   float64 // searches a second within its share, over all brokers
+}
+
+// Terms are what a broker is told at its start.
+type Terms struct {
+	Seed       uint64
+	Brokers    int
+	Step       time.Duration
+	Types      []SearchType
+	Tenants    []Tenant
+	OverShare  float64 // what a search beyond its tenant's share is worth
+	Cells      int
+	Width      int
+	BatchParts int
+	CallWork   time.Duration
+
+	Cancels       bool
+	SecondCopies  bool
+	RetryAfter    bool
+	MaxRetryAfter time.Duration
+	MaxAttempts   int
+	MaxOpen       int
+	AskList       bool
+	AskWithin     time.Duration
+
+	ColdFrom     float64
+	WarmAfter    time.Duration
+	FallMultiple float64
+
+	ExtraFloor  float64
+	ExtraShare  float64
+	ExtraWindow time.Duration // 0: no budget of further sub-requests
+}
+
+// Decider is the module as a front sees it: one call a turn, with all that came in since the last.
+type Decider interface {
+	Turn(now time.Duration, events []Event, actions []Action) []Action
+}
--- /dev/null
+++ b/cmd/simhost/main.go
@@ -0,0 +1,19 @@
+// Command simhost runs the decision module on the simulator's wire, over standard input and output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"flaxfront/broker"
+	"flaxfront/logic"
+	"flaxfront/simwire"
+)
+
+func main() {
+	host := simwire.NewHost(func(t broker.Terms) broker.Decider { return logic.New(t) })
+	if err := host.Serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/logic/actors.go
@@ -0,0 +1,152 @@
+package logic
+
+import (
+	"encoding/binary"
+	"flaxfront/broker"
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"time"
+)
+
+type noteKind uint8
+
+const (
+	event    noteKind = iota // desk, keeper: ev
+	sweep                    // desk: look at every search in hand
+	standing                 // desk: node's mode and cold share changed
+	listed                   // node, desk: a list line
+	unlisted                 // node: left the list
+	sent                     // node: a part went to it
+	ended                    // node: outcome, took
+	tick                     // node: took is how long its oldest part is out (0: none), limit the bound on silence
+)
+
+type note struct {
+	kind    noteKind
+	mode    mode
+	outcome broker.Outcome
+	node    int32
+	took    time.Duration
+	limit   time.Duration
+	share   float64
+	ev      *broker.Event
+	entry   broker.Entry
+}
+
+// actor reads the notes of its inbox.
+type actor interface {
+	read(n *note)
+}
+
+type inbox struct {
+	to     actor
+	notes  []note
+	queued bool
+}
+
+func (l *Logic) post(b *inbox, n note) {
+	b.notes = append(b.notes, n)
+	if !b.queued {
+		b.queued = true
+		l.ready = append(l.ready, b)
+	}
+}
+
+func (l *Logic) run() {
+	for i := 0; i < len(l.ready); i++ {
+		b := l.ready[i]
+		for j := 0; j < len(b.notes); j++ {
+			b.to.read(&b.notes[j])
+		}
+		b.notes, b.queued = b.notes[:0], false
+	}
+	l.ready = l.ready[:0]
+}
+
+func (l *Logic) logf(format string, args ...any) {
+	l.out = append(l.out, broker.Action{Kind: broker.Log, Text: fmt.Sprintf(format, args...)})
+}
+
+// rand draws from [0, 1).
+func (l *Logic) rand() float64 {
+	l.counter++
+	binary.BigEndian.PutUint64(l.draw[:], l.counter)
+	binary.BigEndian.PutUint64(l.draw[8:], l.t.Seed)
+	l.chance.Reset()
+	l.chance.Write(l.draw[:])
+	return float64(l.chance.Sum64()>>11) / (1 << 53)
+}
+
+// mode is what the desk may do with a node.
+type mode uint8
+
+const (
+	gone  mode = iota // not listed, or draining
+	shut              // distrusted: no new work
+	trial             // distrusted: one part, to see
+	cold              // started a short while ago: within its ration
+	fit
+)
+
+// Logic is one broker's decisions.
+type Logic struct {
+	t       *broker.Terms
+	now     time.Duration
+	armed   time.Duration // the earliest wake asked for and not yet come
+	out     []broker.Action
+	ready   []*inbox
+	desk    desk
+	keeper  keeper
+	nodes   []*node
+	byID    map[broker.NodeID]int32
+	chance  hash.Hash64
+	draw    [16]byte
+	counter uint64
+}
+
+// New makes the decisions of one broker.
+func New(t broker.Terms) *Logic {
+	l := &Logic{t: &t, armed: -1, byID: map[broker.NodeID]int32{}, chance: fnv.New64a()}
+	l.desk.start(l)
+	l.keeper = keeper{l: l, box: inbox{to: &l.keeper}, backoff: askFirst}
+	return l
+}
+
+// Turn takes one batch of events and appends what is to be done.
+func (l *Logic) Turn(now time.Duration, events []broker.Event, actions []broker.Action) []broker.Action {
+	l.now, l.out = now, actions
+	for i := range events {
+		switch ev := &events[i]; ev.Kind {
+		case broker.ListFull, broker.ListDelta, broker.ListFailed:
+			l.post(&l.keeper.box, note{kind: event, ev: ev})
+			l.run() // parts later in the batch need the list
+		default:
+			l.post(&l.desk.box, note{kind: event, ev: ev})
+		}
+	}
+	l.run()
+	l.post(&l.keeper.box, note{kind: tick})
+	for i, n := range l.nodes {
+		b := &l.desk.board[i]
+		k := note{kind: tick, limit: l.desk.silence}
+		if len(b.calls) > 0 {
+			k.took = max(1, now-b.calls[0].at)
+		}
+		l.post(&n.box, k)
+	}
+	l.run()
+	l.post(&l.desk.box, note{kind: sweep})
+	l.run()
+	if l.armed >= 0 && l.armed <= now {
+		l.armed = -1
+	}
+	if at := min(l.desk.next, l.keeper.next); at < never && (l.armed < 0 || at < l.armed) {
+		l.armed = max(at, now+1)
+		l.out = append(l.out, broker.Action{Kind: broker.Wake, At: l.armed})
+	}
+	actions, l.out = l.out, nil
+	return actions
+}
+
+const never = time.Duration(1<<63 - 1)
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,623 @@
+// Package logic holds every decision of flaxfront. A front calls New once with the Terms of its start,
+// then Turn for each batch of events, and carries out the actions that Turn appends, in their order.
+// The interface (events, actions, terms) lives in package broker.
+//
+// Three kinds of actor share the work: the desk (searches in hand), one node actor for each store node
+// (its health) and the keeper (the node list). They talk only by notes; Logic.run empties the inboxes.
+package logic
+
+import (
+	"slices"
+	"time"
+
+	"flaxfront/broker"
+)
+
+const (
+	margin       = 50 * time.Millisecond // a search is answered so long before its latency target
+	guardSteps   = 3                     // last moment: so many steps before the client timeout
+	copyQuantile = 0.95
+	capShare     = 0.1 // copies and resends together, as a share of parts
+	capDepth     = 30.0
+	samples      = 256 // latencies kept for the quantiles
+	fewSamples   = 24
+	poll         = 10 * time.Millisecond // a part held back is looked at again after this
+
+	silentFactor = 3.0 // silent: nothing heard for so many p95
+	silentLeast  = 350 * time.Millisecond
+	silentMost   = 900 * time.Millisecond
+	doubtStep    = 0.3 // weight of one outcome in a node's error share
+	doubtShut    = 0.45
+	doubtTrust   = 0.25
+	backoffFirst = 200 * time.Millisecond
+	backoffMost  = 3 * time.Second
+	coldSafety   = 0.45 // share of the cold rule's limit that is used
+	coldPace     = 250 * time.Millisecond
+
+	loadStep = 0.05 // weight of one latency in the load model
+	shedLow  = 0.45 // expected wait over time left: refusing starts here
+	shedHigh = 1.0  // and is complete here
+	overBias = 1.6  // a tenant beyond its share is refused as if the wait were so much longer
+	overRate = 1.3
+	rateFast = 3 * time.Second
+	rateSlow = 20 * time.Second
+	askFirst = 500 * time.Millisecond
+	askMost  = 4 * time.Second
+	eps      = 5e-5
+)
+
+func (k *keeper) read(n *note) {
+	l := k.l
+	if n.kind == tick {
+		k.next = never
+		if l.t.AskList && !k.asked {
+			if k.next = k.due; l.now >= k.due {
+				k.asked, k.next = true, never
+				l.out = append(l.out, broker.Action{Kind: broker.Subscribe})
+			}
+		}
+		return
+	}
+	if n.ev.Kind == broker.ListFailed {
+		// Danger: every broker asking again in step keeps a jammed list service jammed.
+		k.asked = false
+		k.due = l.now + time.Duration((0.5+l.rand())*float64(k.backoff))
+		k.backoff = min(2*k.backoff, askMost)
+		return
+	}
+	k.backoff = askFirst
+	for i := range n.ev.Entries {
+		e := n.ev.Entries[i]
+		at, known := l.byID[e.Node]
+		if !known {
+			if e.State == broker.Gone {
+				continue
+			}
+			at = int32(len(l.nodes))
+			l.byID[e.Node] = at
+			l.nodes = append(l.nodes, &node{l: l, at: at, id: e.Node, boot: broker.NoBoot, trusted: true})
+			l.nodes[at].box.to = l.nodes[at]
+			l.desk.board = append(l.desk.board, seat{id: e.Node})
+		}
+		l.post(&l.nodes[at].box, note{kind: listed, entry: e})
+	}
+	if n.ev.Kind == broker.ListFull {
+		for _, nd := range l.nodes {
+			if !slices.ContainsFunc(n.ev.Entries, func(e broker.Entry) bool { return e.Node == nd.id }) {
+				l.post(&nd.box, note{kind: unlisted})
+			}
+		}
+	}
+}
+
+func (n *node) read(k *note) {
+	now := n.l.now
+	switch k.kind {
+	case listed:
+		n.cell, n.ready = k.entry.Cell, k.entry.State == broker.Ready
+		if b := k.entry.Boot; b != broker.NoBoot && b != n.boot {
+			n.boot = b
+			if now-b < n.l.t.WarmAfter {
+				n.warming, n.since, n.downed = true, b, false
+				n.trusted, n.doubt = true, 0
+				n.l.logf("%v cold: started %v ago", n.id, now-b)
+			}
+		}
+	case unlisted:
+		n.ready = false
+	case sent:
+		if !n.trusted {
+			n.until = now + n.backoff
+		}
+	case ended:
+		n.ended(k)
+	case tick:
+		// Danger: a node that takes parts and answers none (hung, stalled, cut off one way). It also catches
+		// one whose answers stop for any other reason; it may hurt when a whole fleet slows at once, so the
+		// bound follows p95.
+		if wait := min(k.took, now-n.heard); n.trusted && k.took > 0 && wait > k.limit {
+			n.distrust("silent", wait.Seconds())
+		}
+	}
+	n.tell()
+}
+
+func (n *node) ended(k *note) {
+	now := n.l.now
+	switch k.outcome {
+	case broker.OK:
+		n.heard = now
+		n.doubt -= doubtStep * n.doubt
+		if n.downed {
+			// Danger: a process that came back is cold before the list says so.
+			n.downed, n.warming, n.since = false, true, now
+			n.l.logf("%v cold: alive after a broken connection", n.id)
+		}
+		if !n.trusted {
+			if n.until = now; n.doubt < doubtTrust {
+				n.trusted, n.backoff = true, 0
+				n.l.logf("%v trusted: doubt %.2f", n.id, n.doubt)
+			}
+		}
+	case broker.Errored:
+		n.heard = now
+		n.doubt += doubtStep * (1 - n.doubt)
+		if n.doubt > doubtShut || !n.trusted {
+			n.distrust("errors", n.doubt)
+		}
+	case broker.Refused:
+		n.heard = now
+		n.distrust("refuses", n.doubt)
+	case broker.ConnectFailed, broker.Reset:
+		n.downed = true
+		n.distrust("unreachable", n.doubt)
+	}
+}
+
+// distrust sends a node no work but a lone part now and then, ever rarer while it fails.
+func (n *node) distrust(why string, figure float64) {
+	if n.trusted {
+		n.l.logf("%v shut: %s (%.2f)", n.id, why, figure)
+		n.backoff = backoffFirst
+	} else if n.l.now >= n.until-n.backoff/2 {
+		n.backoff = min(2*n.backoff, backoffMost)
+	}
+	n.trusted, n.until = false, n.l.now+n.backoff
+}
+
+// tell lets the desk know the node's mode.
+func (n *node) tell() {
+	k := note{kind: standing, node: n.at, mode: fit, share: 1}
+	t := n.l.t
+	if n.warming {
+		// Danger (rule 4): all brokers at once push a cold node over. Capacity grows no slower than evenly, and
+		// each broker keeps to a share of what it sends a like warm node, so their sum holds without agreement.
+		age := n.l.now - n.since
+		if age >= t.WarmAfter {
+			n.warming = false
+			n.l.logf("%v warm", n.id)
+		} else {
+			k.mode = cold
+			have := t.ColdFrom + (1-t.ColdFrom)*float64(max(0, age))/float64(t.WarmAfter)
+			k.share = min(1, coldSafety*t.FallMultiple*have)
+		}
+	}
+	switch {
+	case !n.ready:
+		k.mode = gone
+	case !n.trusted && n.l.now >= n.until:
+		k.mode = trial
+	case !n.trusted:
+		k.mode = shut
+	}
+	if k.entry.Cell = n.cell; k != n.told {
+		n.told = k
+		n.l.post(&n.l.desk.box, k)
+	}
+}
+
+func (d *desk) start(l *Logic) {
+	d.l, d.box.to, d.next = l, d, never
+	d.refs = map[uint64]ref{}
+	d.tokens = capDepth / 2
+	d.silence = silentMost
+	d.rates = make([]rate, len(l.t.Tenants))
+	least := never
+	for i := range l.t.Types {
+		least = min(least, l.t.Types[i].Target)
+	}
+	d.p50, d.p95 = least/8, least/2
+}
+
+func (d *desk) read(n *note) {
+	switch n.kind {
+	case standing:
+		b := &d.board[n.node]
+		if n.mode != cold && b.mode == cold || b.mode != cold {
+			b.ration = 0
+		}
+		b.mode, b.share, b.cell = n.mode, n.share, n.entry.Cell
+	case sweep:
+		d.sweep()
+	case event:
+		switch n.ev.Kind {
+		case broker.SearchIn:
+			d.take(n.ev)
+		case broker.PartIn:
+			d.addPart(n.ev)
+		case broker.Ended:
+			d.ended(n.ev)
+		case broker.Left:
+			if r, ok := d.find(n.ev.ID); ok && r.part < 0 {
+				d.drop(r.slot)
+			}
+		}
+	}
+}
+
+func (d *desk) take(e *broker.Event) {
+	l := d.l
+	if e.Type >= len(l.t.Types) {
+		l.logf("search of unknown type %d failed", e.Type)
+		l.out = append(l.out, broker.Action{Kind: broker.Fail, ID: e.ID})
+		return
+	}
+	var slot int32
+	if n := len(d.free); n > 0 {
+		slot, d.free = d.free[n-1], d.free[:n-1]
+	} else {
+		slot = int32(len(d.slab))
+		d.slab = append(d.slab, search{})
+	}
+	t := &l.t.Types[e.Type]
+	s := &d.slab[slot]
+	*s = search{gen: s.gen, id: e.ID, inUse: true, serial: e.Serial, typ: t, tenant: e.Tenant, expect: int(e.Weight),
+		arrived: l.now, deadline: l.now + min(t.Target, e.Left) - margin,
+		last: l.now + e.Left - guardSteps*l.t.Step, parts: s.parts[:0]}
+	d.refs[e.ID] = ref{slot, -1, s.gen}
+	d.total.add(l.now)
+	if s.tenant < len(d.rates) {
+		d.rates[s.tenant].add(l.now)
+	}
+	d.count()
+}
+
+func (d *desk) ended(e *broker.Event) {
+	l := d.l
+	at, known := l.byID[e.Node]
+	if known {
+		d.returned(&d.board[at], l.now-e.Took)
+		l.post(&l.nodes[at].box, note{kind: ended, outcome: e.Outcome, took: e.Took})
+	}
+	r, ok := d.find(e.ID)
+	if !ok || r.part < 0 {
+		return
+	}
+	p := &d.slab[r.slot].parts[r.part]
+	if int(e.Attempt) >= len(p.tries) || !p.tries[e.Attempt].live {
+		return
+	}
+	a := &p.tries[e.Attempt]
+	a.live = false
+	p.live--
+	switch e.Outcome {
+	case broker.OK:
+		if p.done {
+			return
+		}
+		p.done = true
+		d.slab[r.slot].got += p.weight
+		d.record(e.Took)
+		d.slope += loadStep * (float64(e.Took)/(a.load+1) - d.slope)
+		d.cancel(p)
+	case broker.Refused, broker.ConnectFailed, broker.NeverSent:
+	default:
+		p.risk(a.at)
+	}
+}
+
+// record keeps a latency and, now and then, draws the quantiles anew.
+func (d *desk) record(took time.Duration) {
+	d.takes[d.taken%samples] = took
+	if d.taken++; d.taken < fewSamples || d.taken%16 != 0 {
+		return
+	}
+	n := min(d.taken, samples)
+	s := d.sorted[:n]
+	copy(s, d.takes[:n])
+	slices.Sort(s)
+	d.p50, d.p95 = s[n/2], s[int(copyQuantile*float64(n))]
+	d.silence = min(max(time.Duration(silentFactor*float64(d.p95)), silentLeast), silentMost)
+}
+
+func (d *desk) answer(slot int32, whole bool) {
+	s := &d.slab[slot]
+	d.l.out = append(d.l.out, broker.Action{Kind: broker.Answer, ID: s.id, Whole: whole})
+	if s.typ.Fetch > 0 && !s.stage2 {
+		d.clearParts(s)
+		s.stage2, s.whole1, s.sent, s.got, s.expect = true, whole, false, 0, 0
+		return
+	}
+	d.drop(slot)
+}
+
+// giveUp sends the final answer of a search that can't be answered: a shed where that is true and allowed,
+// with the time to come back in; else a failure.
+func (d *desk) giveUp(slot int32) {
+	l, s := d.l, &d.slab[slot]
+	act := broker.Action{Kind: broker.Fail, ID: s.id}
+	harmless := !s.stage2
+	for i := range s.parts {
+		p := &s.parts[i]
+		harmless = harmless && p.live == 0 && !p.mayRun && !p.done
+	}
+	if (harmless || s.typ.Effect == broker.Idempotent) && l.now < s.last {
+		act.Kind = broker.Shed
+		if l.t.RetryAfter {
+			act.After = time.Duration((0.5 + 0.5*l.rand()) * float64(l.t.MaxRetryAfter))
+		}
+	}
+	l.out = append(l.out, act)
+	d.drop(slot)
+}
+
+// sweep looks at every search in hand: what came in, what is due, what is new.
+func (d *desk) sweep() {
+	d.next = never
+	for slot := range d.slab {
+		if s := &d.slab[slot]; s.inUse && s.sent {
+			d.settle(int32(slot))
+		}
+	}
+	for slot := range d.slab {
+		s := &d.slab[slot]
+		if !s.inUse {
+			continue
+		}
+		if !s.sent && (!s.stage2 || len(s.parts) > 0 || d.l.now >= s.last) {
+			d.dispatch(int32(slot))
+		} else if s.sent {
+			d.further(s)
+			d.settle(int32(slot))
+		}
+		if s.inUse {
+			d.next = min(d.next, s.last)
+			if s.deadline > d.l.now {
+				d.next = min(d.next, s.deadline)
+			}
+		}
+	}
+}
+
+// settle answers or gives up a search as soon as its state allows.
+func (d *desk) settle(slot int32) {
+	s, now := &d.slab[slot], d.l.now
+	need, least := s.typ.Need, s.typ.Floor
+	if s.stage2 {
+		if need = 1; least >= s.typ.Need {
+			least = 1
+		}
+	}
+	open := 0.0
+	for i := range s.parts {
+		if p := &s.parts[i]; !p.done && !p.dead {
+			open += p.weight
+		}
+	}
+	enough := s.got >= least-eps
+	switch {
+	case s.got >= need-eps:
+		d.answer(slot, !s.stage2 || s.whole1)
+	case enough && (now >= s.deadline || open == 0):
+		d.answer(slot, false)
+	case now >= s.last, !enough && s.got+open < least-eps:
+		d.giveUp(slot)
+	}
+}
+
+// dispatch sends the parts of a new search, or refuses it.
+func (d *desk) dispatch(slot int32) {
+	l, s := d.l, &d.slab[slot]
+	s.sent = true
+	if l.now >= s.last || d.refuse(s) {
+		d.giveUp(slot)
+		return
+	}
+	// A search that lacks a holder for too many parts is given up before any work is spent on it.
+	reach := 0.0
+	for i := range s.parts {
+		if p := &s.parts[i]; d.pick(s, p, true, false) >= 0 {
+			reach += p.weight
+		} else {
+			p.dead = true
+		}
+	}
+	for i := range s.parts {
+		p := &s.parts[i]
+		if p.dead || reach < s.typ.Floor-eps {
+			continue
+		}
+		at := d.ride(s, i)
+		if at < 0 {
+			at = d.pick(s, p, true, false)
+		}
+		if at < 0 {
+			p.dead = true
+			continue
+		}
+		d.send(p, at)
+		d.tokens = min(capDepth, d.tokens+capShare)
+	}
+	d.settle(slot)
+}
+
+// refuse tells whether a new search should be turned away for lack of time.
+// Danger: under overload all searches end late and every retry adds to it. The wait expected of the busiest
+// set of nodes is held against the time left; those beyond their tenant's share go first.
+func (d *desk) refuse(s *search) bool {
+	l := d.l
+	wait := 0.0
+	for i := range s.parts {
+		wait = max(wait, d.slope*(d.load(s.parts[i].shard%l.t.Cells)+1))
+	}
+	x := wait / float64(max(1, s.deadline-l.now))
+	if d.over(s.tenant) {
+		x *= overBias
+	}
+	if on := x > shedHigh; on != d.refusing && (on || x < shedLow) {
+		d.refusing = on
+		l.logf("refusing %v: wait %.2fs, time %v", on, wait/1e9, s.deadline-l.now)
+	}
+	return x > shedLow && l.rand() < (x-shedLow)/(shedHigh-shedLow)
+}
+
+// over tells whether a tenant sends beyond its share of what this broker carries.
+func (d *desk) over(tenant int) bool {
+	l := d.l
+	if tenant >= len(d.rates) || l.t.OverShare >= 1 {
+		return false
+	}
+	r, q := &d.rates[tenant], &l.t.Tenants[tenant]
+	d.total.decay(l.now)
+	r.decay(l.now)
+	return r.fast > max(q.Quota/float64(l.t.Brokers), overRate*q.Portion*d.total.slow)
+}
+
+// ride finds the node to which another part of the search, held by the same nodes, goes this turn.
+func (d *desk) ride(s *search, i int) int32 {
+	l, riders := d.l, 1
+	if l.t.BatchParts < 2 {
+		return -1
+	}
+	for j := i - 1; j >= 0; j-- {
+		p := &s.parts[j]
+		if (p.shard-s.parts[i].shard)%l.t.Cells != 0 || p.live == 0 {
+			continue
+		}
+		if riders++; riders > l.t.BatchParts {
+			return -1
+		}
+		if at := p.tries[0].node; d.board[at].mode == fit {
+			return at
+		}
+	}
+	return -1
+}
+
+// pick chooses a holder of the part: fewest calls out, ties at random. First sends also go, one at a time, to a
+// distrusted node whose trial is due. Where every holder is distrusted, the least busy still gets a little.
+func (d *desk) pick(s *search, p *part, first, again bool) int32 {
+	l, best, ties := d.l, int32(-1), 0
+	bestShut := int32(-1)
+	for i := range d.board {
+		b := &d.board[i]
+		if b.mode == gone || (b.cell-p.shard%l.t.Cells+l.t.Cells)%l.t.Cells >= l.t.Width {
+			continue
+		}
+		if !again && slices.ContainsFunc(p.tries, func(a attempt) bool { return a.node == int32(i) }) {
+			continue
+		}
+		switch {
+		case b.mode == trial && first && s.typ.Effect == broker.Idempotent:
+			return int32(i)
+		case b.mode == trial, b.mode == shut:
+			if len(b.calls) < 2 && !l.nodes[i].downed && (bestShut < 0 || len(b.calls) < len(d.board[bestShut].calls)) {
+				bestShut = int32(i)
+			}
+			continue
+		case b.mode == cold && b.ration < 1 && !(d.warm() == 0 && len(b.calls) == 0 && l.now-b.last >= coldPace):
+			continue
+		}
+		if best >= 0 && len(b.calls) > len(d.board[best].calls) {
+			continue
+		}
+		if best < 0 || len(b.calls) < len(d.board[best].calls) {
+			best, ties = int32(i), 1
+		} else if ties++; l.rand()*float64(ties) < 1 {
+			best = int32(i)
+		}
+	}
+	if best < 0 {
+		return bestShut
+	}
+	return best
+}
+
+func (d *desk) send(p *part, at int32) {
+	l, b := d.l, &d.board[at]
+	switch b.mode {
+	case trial:
+		b.mode = shut
+	case cold:
+		b.ration--
+	case fit:
+		warm := float64(d.warm())
+		for i := range d.board {
+			if c := &d.board[i]; c.mode == cold {
+				c.ration = min(2, c.ration+c.share/warm)
+			}
+		}
+	}
+	p.tries = append(p.tries, attempt{node: at, live: true, at: l.now, load: d.load(b.cell)})
+	p.live++
+	if n := len(b.calls); n > 0 && b.calls[n-1].at == l.now && b.calls[n-1].parts < l.t.BatchParts {
+		b.calls[n-1].parts++
+	} else {
+		b.calls = append(b.calls, call{l.now, 1})
+	}
+	b.last = l.now
+	l.out = append(l.out, broker.Action{Kind: broker.Send, ID: p.id, Node: b.id})
+	l.post(&l.nodes[at].box, note{kind: sent})
+}
+
+// further sends the copies and resends that are due, within the shared cap.
+func (d *desk) further(s *search) {
+	l, t := d.l, d.l.t
+	limit := s.last
+	if l.now < s.deadline || s.typ.LateShare == 0 {
+		limit = s.deadline
+	}
+	for i := range s.parts {
+		p := &s.parts[i]
+		if p.done || p.dead {
+			continue
+		}
+		inTime := l.now+d.p50 <= limit && len(p.tries) < t.MaxAttempts
+		if p.live == 0 {
+			if p.resent || !inTime || !d.mayRepeat(s, p) {
+				p.dead = true
+				continue
+			}
+		} else {
+			if p.copied || !inTime || !t.SecondCopies || s.typ.Effect != broker.Idempotent || p.live > 1 {
+				continue
+			}
+			if due := p.tries[len(p.tries)-1].at + d.copyAfter(s); due > l.now {
+				d.next = min(d.next, due)
+				continue
+			}
+		}
+		at := int32(-1)
+		if d.tokens >= 1 && d.inBudget() {
+			if at = d.pick(s, p, false, p.live == 0); at >= 0 {
+				d.tokens--
+				if t.ExtraWindow > 0 {
+					d.extras = append(d.extras, l.now)
+				}
+				p.resent, p.copied = p.resent || p.live == 0, p.copied || p.live > 0
+				d.send(p, at)
+				continue
+			}
+		}
+		d.next = min(d.next, l.now+poll)
+	}
+}
+
+func (d *desk) copyAfter(s *search) time.Duration {
+	if d.taken < fewSamples {
+		return s.typ.Target / 2
+	}
+	return d.p95
+}
+
+// mayRepeat tells whether a part whose sub-requests have all ended may be sent again (rule 2).
+func (d *desk) mayRepeat(s *search, p *part) bool {
+	switch s.typ.Effect {
+	case broker.Idempotent:
+		return true
+	case broker.Tokened:
+		return !p.mayRun || d.l.now <= p.firstRisk+s.typ.Window
+	}
+	return !p.mayRun
+}
+
+// inBudget keeps rule 6: further sub-requests in the window, this one included.
+func (d *desk) inBudget() bool {
+	t := d.l.t
+	if t.ExtraWindow == 0 {
+		return true
+	}
+	bound := d.l.now - t.ExtraWindow
+	d.asks, d.extras = trim(d.asks, bound), trim(d.extras, bound-t.Step)
+	return float64(len(d.extras)+1) <= t.ExtraFloor+t.ExtraShare*float64(len(d.asks))
+}
--- /dev/null
+++ b/logic/state.go
@@ -0,0 +1,268 @@
+package logic
+
+import (
+	"flaxfront/broker"
+	"math"
+	"slices"
+	"time"
+)
+
+// seat is the desk's view of a node.
+type seat struct {
+	id     broker.NodeID
+	cell   int
+	mode   mode
+	share  float64
+	ration float64 // parts a cold node may be sent now
+	last   time.Duration
+	calls  []call // out, oldest first
+}
+
+type call struct {
+	at    time.Duration
+	parts int
+}
+
+type attempt struct {
+	node int32
+	live bool
+	at   time.Duration
+	load float64
+}
+
+type part struct {
+	id        uint64
+	shard     int
+	weight    float64
+	tries     []attempt
+	live      int
+	done      bool
+	dead      bool // nothing more will come of it
+	copied    bool
+	resent    bool
+	mayRun    bool // a sub-request may have run
+	firstRisk time.Duration
+}
+
+type search struct {
+	gen      uint32
+	id       uint64
+	inUse    bool
+	sent     bool
+	stage2   bool
+	whole1   bool
+	serial   float32
+	typ      *broker.SearchType
+	tenant   int
+	expect   int
+	arrived  time.Duration
+	deadline time.Duration
+	last     time.Duration
+	got      float64
+	parts    []part
+}
+
+// ref names a search (part < 0) or a part by its place; gen tells whether the place was reused since.
+type ref struct {
+	slot, part int32
+	gen        uint32
+}
+
+type rate struct {
+	fast, slow float64
+	at         time.Duration
+}
+
+func (r *rate) decay(now time.Duration) {
+	dt := float64(now - r.at)
+	r.fast *= math.Exp(-dt / float64(rateFast))
+	r.slow *= math.Exp(-dt / float64(rateSlow))
+	r.at = now
+}
+
+// trim drops the times at or before the bound.
+func trim(times []time.Duration, bound time.Duration) []time.Duration {
+	n := 0
+	for n < len(times) && times[n] <= bound {
+		n++
+	}
+	if n > 0 {
+		times = append(times[:0], times[n:]...)
+	}
+	return times
+}
+
+// risk notes that a sub-request sent at that time may have run.
+func (p *part) risk(at time.Duration) {
+	if !p.mayRun || at < p.firstRisk {
+		p.mayRun, p.firstRisk = true, at
+	}
+}
+
+// returned takes one part off the call that was sent at that time, or off the one sent nearest to it.
+func (d *desk) returned(b *seat, at time.Duration) {
+	best := -1
+	for i := range b.calls {
+		if best < 0 || (b.calls[i].at-at).Abs() < (b.calls[best].at-at).Abs() {
+			best = i
+		}
+	}
+	if best < 0 {
+		return
+	}
+	if b.calls[best].parts--; b.calls[best].parts == 0 {
+		b.calls = slices.Delete(b.calls, best, best+1)
+	}
+}
+
+// drop ends a search in hand: its parts are called off and its place is free.
+func (d *desk) drop(slot int32) {
+	s := &d.slab[slot]
+	d.clearParts(s)
+	delete(d.refs, s.id)
+	s.inUse = false
+	s.gen++
+	d.free = append(d.free, slot)
+}
+
+func (d *desk) clearParts(s *search) {
+	for i := range s.parts {
+		d.cancel(&s.parts[i])
+		delete(d.refs, s.parts[i].id)
+	}
+	s.parts = s.parts[:0]
+}
+
+// keeper keeps the node list current.
+type keeper struct {
+	l       *Logic
+	box     inbox
+	asked   bool // a watch is held or asked for
+	due     time.Duration
+	next    time.Duration
+	backoff time.Duration
+}
+
+// node judges the health of one store node.
+type node struct {
+	l       *Logic
+	box     inbox
+	at      int32
+	id      broker.NodeID
+	cell    int
+	boot    time.Duration
+	ready   bool
+	trusted bool
+	downed  bool // its connections broke: when it lives again, it may have started anew
+	doubt   float64
+	backoff time.Duration
+	until   time.Duration
+	heard   time.Duration
+	warming bool
+	since   time.Duration // cold start
+	told    note
+}
+
+// desk holds the searches in hand and sends their parts.
+type desk struct {
+	l        *Logic
+	box      inbox
+	board    []seat
+	slab     []search
+	free     []int32
+	refs     map[uint64]ref
+	tokens   float64
+	next     time.Duration
+	silence  time.Duration
+	takes    [samples]time.Duration
+	sorted   [samples]time.Duration
+	taken    int
+	p50      time.Duration
+	p95      time.Duration
+	slope    float64 // expected latency over (calls out a node + 1)
+	rates    []rate
+	total    rate
+	asks     []time.Duration // rule 6: items taken and further sub-requests in the window
+	extras   []time.Duration
+	refusing bool
+}
+
+func (r *rate) add(now time.Duration) {
+	r.decay(now)
+	r.fast += 1 / rateFast.Seconds()
+	r.slow += 1 / rateSlow.Seconds()
+}
+
+// count notes an item taken, for rule 6.
+func (d *desk) count() {
+	if w := d.l.t.ExtraWindow; w > 0 {
+		d.asks = trim(append(d.asks, d.l.now), d.l.now-w)
+	}
+}
+
+func (d *desk) addPart(e *broker.Event) {
+	d.count()
+	for slot := range d.slab {
+		s := &d.slab[slot]
+		if !s.inUse || s.serial != e.Serial {
+			continue
+		}
+		n := len(s.parts)
+		if n < cap(s.parts) {
+			s.parts = s.parts[:n+1]
+		} else {
+			s.parts = append(s.parts, part{})
+		}
+		s.parts[n] = part{id: e.ID, shard: e.Shard, weight: e.Weight, tries: s.parts[n].tries[:0]}
+		d.refs[e.ID] = ref{int32(slot), int32(n), s.gen}
+		return
+	}
+}
+
+// cancel calls off what is still out for a part. A loser's age counts as a latency it would have passed.
+func (d *desk) cancel(p *part) {
+	for i := range p.tries {
+		a := &p.tries[i]
+		if !a.live {
+			continue
+		}
+		a.live = false
+		p.live--
+		p.risk(a.at)
+		if p.done {
+			d.record(d.l.now - a.at)
+		}
+		if d.l.t.Cancels {
+			d.l.out = append(d.l.out, broker.Action{Kind: broker.Cancel, ID: p.id, Attempt: uint16(i)})
+		}
+	}
+}
+
+// load is how many calls this broker has out at a usable node of the cell, on average.
+func (d *desk) load(cell int) float64 {
+	calls, usable := 0, 0
+	for i := range d.board {
+		if b := &d.board[i]; b.cell == cell && b.mode >= cold {
+			usable++
+			calls += len(b.calls)
+		}
+	}
+	return float64(calls) / float64(max(1, usable))
+}
+
+// warm counts the nodes that are neither cold nor distrusted.
+func (d *desk) warm() int {
+	n := 0
+	for i := range d.board {
+		if d.board[i].mode == fit {
+			n++
+		}
+	}
+	return n
+}
+
+// find looks up what is still in hand under an id.
+func (d *desk) find(id uint64) (ref, bool) {
+	r, ok := d.refs[id]
+	return r, ok && d.slab[r.slot].gen == r.gen
+}
--- /dev/null
+++ b/simwire/host.go
@@ -0,0 +1,333 @@
+// Package simwire speaks the simulator's binary wire and hosts many brokers that share nothing.
+package simwire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"time"
+
+	"flaxfront/broker"
+)
+
+// Layout of frames and records.
+const (
+	eventSize  = 56
+	actionSize = 24
+	entrySize  = 24
+	headSize   = 12
+	maxFrame   = 1 << 30
+
+	evNew, evEndpoints, evWorkItem, evOpened, evResolved, evHangup = 1, 2, 3, 4, 5, 6
+	evElapsed, evProbeDone, evDatagram, evKill, evManifest         = 7, 8, 9, 10, 11
+	evSelect                                                       = 12
+
+	acSend, acShed, acFailure, acAbandon, acTimer = 1, 2, 3, 4, 5
+	acEmit, acKeepInformed, acRespond, acOnBehalf = 9, 11, 13, 14
+
+	listDelta, listFailed, listFull, listCached = 1, 2, 3, 4
+)
+
+var be = binary.BigEndian
+
+type instance struct {
+	number  uint16
+	start   uint64 // the clock at its start
+	module  broker.Decider
+	events  []broker.Event
+	touched bool
+}
+
+// Host decodes batches, gives each broker its events and writes their actions.
+type Host struct {
+	newModule func(broker.Terms) broker.Decider
+	brokers   map[uint16]*instance
+	touched   []*instance
+	sheets    [16][]byte
+	held      [16]bool
+	frame     bytes.Buffer
+	actions   []broker.Action
+	records   []byte
+	tail      []byte
+}
+
+// NewHost makes a host whose brokers come from newModule.
+func NewHost(newModule func(broker.Terms) broker.Decider) *Host {
+	return &Host{newModule: newModule, brokers: map[uint16]*instance{}}
+}
+
+// Serve answers batches until input ends between two frames.
+func (h *Host) Serve(in io.Reader, out io.Writer) error {
+	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
+	var head [headSize]byte
+	for n := 0; ; n++ {
+		if _, err := io.ReadFull(r, head[:]); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return fmt.Errorf("batch %d: header cut short: %w", n, err)
+		}
+		clock, size := be.Uint64(head[0:]), be.Uint32(head[8:])
+		if size < 4 || size > maxFrame {
+			return fmt.Errorf("batch %d: length %d out of range", n, size)
+		}
+		h.frame.Reset()
+		if got, err := io.CopyN(&h.frame, r, int64(size)); err != nil {
+			return fmt.Errorf("batch %d: %d of %d bytes came: %w", n, got, size, err)
+		}
+		if err := h.batch(clock, h.frame.Bytes()); err != nil {
+			return fmt.Errorf("batch %d: %w", n, err)
+		}
+		if err := h.reply(clock, w); err != nil {
+			return fmt.Errorf("batch %d: reply: %w", n, err)
+		}
+	}
+}
+
+func (h *Host) batch(clock uint64, body []byte) error {
+	count := uint64(be.Uint32(body))
+	if count*eventSize > uint64(len(body)-4) {
+		return fmt.Errorf("%d records do not fit in %d bytes", count, len(body))
+	}
+	records, tail := body[4:4+count*eventSize], body[4+count*eventSize:]
+	var cur *instance
+	var number uint16
+	selected := false
+	for i := 0; len(records) > 0; i++ {
+		r := records[:eventSize]
+		records = records[eventSize:]
+		var err error
+		switch code := r[0]; {
+		case code == evSelect:
+			number, selected = be.Uint16(r[1:]), true
+			cur = h.brokers[number]
+		case code == evManifest:
+			err = h.manifest(r, tail)
+		case code < evNew || code > evSelect:
+			err = fmt.Errorf("unknown event code %d", code)
+		case !selected:
+			err = fmt.Errorf("event code %d before any Select", code)
+		case code == evNew:
+			cur, err = h.start(clock, number, r, tail)
+		case cur == nil:
+			err = fmt.Errorf("event code %d for broker %d, which is not running", code, number)
+		case code == evKill:
+			cur.module, cur.events = nil, nil
+			delete(h.brokers, number)
+			cur = nil
+		default:
+			if !cur.touched {
+				cur.touched = true
+				h.touched = append(h.touched, cur)
+			}
+			err = h.event(cur, r, tail)
+		}
+		if err != nil {
+			return fmt.Errorf("record %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func (h *Host) start(clock uint64, number uint16, r, tail []byte) (*instance, error) {
+	text, err := slice(tail, r[9:], 1)
+	if err != nil {
+		return nil, fmt.Errorf("NewInstance: setup: %w", err)
+	}
+	terms, err := DecodeTerms(string(text), be.Uint64(r[1:]))
+	if err != nil {
+		return nil, fmt.Errorf("NewInstance: %w", err)
+	}
+	if old := h.brokers[number]; old != nil {
+		old.module = nil
+	}
+	b := &instance{number: number, start: clock, module: h.newModule(terms), touched: true}
+	h.brokers[number] = b
+	h.touched = append(h.touched, b)
+	return b, nil
+}
+
+// slice finds a field's bytes in the tail; its length counts items of the given size.
+func slice(tail, field []byte, item uint64) ([]byte, error) {
+	from, size := uint64(be.Uint32(field)), uint64(be.Uint32(field[4:]))*item
+	if from > uint64(len(tail)) || size > uint64(len(tail))-from {
+		return nil, fmt.Errorf("offset %d with %d bytes lies outside the tail of %d", from, size, len(tail))
+	}
+	return tail[from : from+size], nil
+}
+
+func (h *Host) manifest(r, tail []byte) error {
+	sheet := r[1]
+	if int(sheet) >= len(h.sheets) {
+		return fmt.Errorf("Manifest: sheet %d out of range", sheet)
+	}
+	entries, err := slice(tail, r[2:], entrySize)
+	if err != nil {
+		return fmt.Errorf("Manifest: %w", err)
+	}
+	h.sheets[sheet], h.held[sheet] = append(h.sheets[sheet][:0], entries...), true
+	return nil
+}
+
+func node(b []byte) broker.NodeID {
+	return broker.NodeID{Addr: [4]byte(b), Port: be.Uint16(b[4:])}
+}
+
+func (h *Host) event(b *instance, r, tail []byte) error {
+	var e broker.Event
+	switch r[0] {
+	case evEndpoints:
+		switch r[10] {
+		case listFailed:
+			e.Kind = broker.ListFailed
+			b.events = append(b.events, e)
+			return nil
+		case listDelta:
+			e.Kind = broker.ListDelta
+		case listFull, listCached:
+			e.Kind = broker.ListFull
+		default:
+			return fmt.Errorf("Endpoints: unknown mode %d", r[10])
+		}
+		if int(r[9]) >= len(h.sheets) || !h.held[r[9]] {
+			return fmt.Errorf("Endpoints: sheet %d was never given", r[9])
+		}
+		var err error
+		if e.Entries, err = decodeEntries(h.sheets[r[9]], b.start); err != nil {
+			return err
+		}
+	case evWorkItem:
+		e.Kind, e.ID, e.Left = broker.SearchIn, be.Uint64(r[1:]), span(be.Uint64(r[9:]))
+		e.Weight, e.Type = float64(float(r[17:])), int(r[21])
+		e.Tenant, e.Serial = int(be.Uint16(r[30:])), float(r[45:])
+		if shard := float(r[32:]); shard >= 0 && shard < 1<<24 {
+			e.Kind, e.Shard = broker.PartIn, int(shard)
+		} else if !(shard < 0) {
+			return fmt.Errorf("WorkItem: shard %v", shard)
+		}
+		if e.Kind == broker.PartIn && !(e.Weight >= 0 && e.Weight <= 1.001) {
+			return fmt.Errorf("WorkItem: weight %v", e.Weight)
+		}
+	case evResolved:
+		e.Kind, e.ID, e.Attempt = broker.Ended, be.Uint64(r[1:]), be.Uint16(r[10:])
+		e.Took, e.Node = span(be.Uint64(r[12:])), node(r[22:])
+		status := be.Uint16(r[20:])
+		if status > uint16(broker.NeverSent) {
+			return fmt.Errorf("Resolved: unknown outcome %d", status)
+		}
+		e.Outcome = broker.Outcome(status)
+	case evHangup:
+		e.Kind, e.ID = broker.Left, be.Uint64(r[1:])
+	case evElapsed:
+		e.Kind = broker.Woken
+	case evDatagram:
+		text, err := slice(tail, r[5:], 1)
+		if err != nil {
+			return fmt.Errorf("Datagram: %w", err)
+		}
+		e.Kind, e.From, e.Text = broker.PeerSaid, be.Uint32(r[1:]), bytes.Clone(text)
+	case evOpened, evProbeDone:
+		return nil // streams and probes are not used
+	}
+	b.events = append(b.events, e)
+	return nil
+}
+
+func span(v uint64) time.Duration { return time.Duration(min(v, math.MaxInt64/4)) }
+
+func float(b []byte) float32 { return math.Float32frombits(be.Uint32(b)) }
+
+func decodeEntries(raw []byte, start uint64) ([]broker.Entry, error) {
+	out := make([]broker.Entry, 0, len(raw)/entrySize)
+	for ; len(raw) > 0; raw = raw[entrySize:] {
+		e := broker.Entry{Node: node(raw), Cell: int(be.Uint16(raw[9:])), Boot: broker.NoBoot}
+		switch raw[11] {
+		case 0:
+			e.State = broker.Draining
+		case 1:
+			e.State = broker.Gone
+		case 2:
+			e.State = broker.Ready
+		default:
+			return nil, fmt.Errorf("Endpoints: entry %d: unknown mode %d", len(out), raw[11])
+		}
+		if boot := be.Uint64(raw[16:]); boot != 0 {
+			e.Boot = time.Duration(boot - start) // wraps to a negative span for an earlier boot
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
+
+func (h *Host) reply(clock uint64, w *bufio.Writer) error {
+	h.records, h.tail = h.records[:0], h.tail[:0]
+	for _, b := range h.touched {
+		b.touched = false
+		if b.module == nil {
+			continue
+		}
+		h.actions = b.module.Turn(time.Duration(clock-b.start), b.events, h.actions[:0])
+		clear(b.events)
+		b.events = b.events[:0]
+		if len(h.actions) == 0 {
+			continue
+		}
+		be.PutUint16(h.record(acOnBehalf)[1:], b.number)
+		for i := range h.actions {
+			h.encode(b, &h.actions[i])
+		}
+	}
+	h.touched = h.touched[:0]
+	var head [8]byte
+	be.PutUint32(head[0:], uint32(len(h.records)/actionSize))
+	be.PutUint32(head[4:], uint32(len(h.records)+len(h.tail)))
+	w.Write(head[:])
+	w.Write(h.records)
+	w.Write(h.tail)
+	return w.Flush()
+}
+
+func (h *Host) record(code byte) []byte {
+	n := len(h.records)
+	h.records = append(h.records, make([]byte, actionSize)...)
+	h.records[n] = code
+	return h.records[n:]
+}
+
+func (h *Host) encode(b *instance, a *broker.Action) {
+	switch a.Kind {
+	case broker.Send:
+		r := h.record(acSend)
+		be.PutUint64(r[1:], a.ID)
+		copy(r[17:], a.Node.Addr[:])
+		be.PutUint16(r[21:], a.Node.Port)
+	case broker.Shed:
+		r := h.record(acShed)
+		be.PutUint64(r[1:], a.ID)
+		be.PutUint64(r[9:], uint64(max(0, a.After)))
+	case broker.Fail:
+		be.PutUint64(h.record(acFailure)[1:], a.ID)
+	case broker.Answer:
+		r := h.record(acRespond)
+		be.PutUint64(r[1:], a.ID)
+		if a.Whole {
+			r[9] = 1
+		}
+	case broker.Cancel:
+		r := h.record(acAbandon)
+		be.PutUint64(r[1:], a.ID)
+		be.PutUint16(r[9:], a.Attempt)
+	case broker.Wake:
+		be.PutUint64(h.record(acTimer)[1:], b.start+uint64(max(0, a.At)))
+	case broker.Subscribe:
+		h.record(acKeepInformed)[1] = 1
+	case broker.Log:
+		r := h.record(acEmit)
+		be.PutUint32(r[1:], uint32(len(h.tail)))
+		be.PutUint32(r[5:], uint32(len(a.Text)))
+		h.tail = append(h.tail, a.Text...)
+	}
+}
