Stop copies while slowness is general; judge silence by p50

Copies now wait while p50 stands 1.5 times over its low point, unless the node is distrusted; silence follows 5 p50, at most 1.5 s. Should also cover retry storms and bursts; may hurt where half the nodes turn slow at once.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,13 +19,15 @@
 	copyQuantile = 0.95
 	capShare     = 0.1 // copies and resends together, as a share of parts
 	capDepth     = 30.0
-	samples      = 256 // latencies kept for the quantiles
+	samples      = 96 // latencies kept for the quantiles
+	baseCreep    = 1.005
+	crowdMost    = 1.5 // p50 over its low point: above this, slowness is general and copies stop
 	fewSamples   = 24
 	poll         = 10 * time.Millisecond // a part held back is looked at again after this
 
-	silentFactor = 3.0 // silent: nothing heard for so many p95
-	silentLeast  = 350 * time.Millisecond
-	silentMost   = 900 * time.Millisecond
+	silentFactor = 5.0 // silent: nothing heard for so many p50
+	silentLeast  = 400 * time.Millisecond
+	silentMost   = 1500 * time.Millisecond
 	doubtStep    = 0.3 // weight of one outcome in a node's error share
 	doubtShut    = 0.45
 	doubtTrust   = 0.25
@@ -206,7 +208,7 @@
 	for i := range l.t.Types {
 		least = min(least, l.t.Types[i].Target)
 	}
-	d.p50, d.p95 = least/8, least/2
+	d.p50, d.p95, d.base = least/8, least/2, least/8
 }
 
 func (d *desk) read(n *note) {
@@ -307,7 +309,8 @@
 	copy(s, d.takes[:n])
 	slices.Sort(s)
 	d.p50, d.p95 = s[n/2], s[int(copyQuantile*float64(n))]
-	d.silence = min(max(time.Duration(silentFactor*float64(d.p95)), silentLeast), silentMost)
+	d.base = min(d.p50, time.Duration(baseCreep*float64(d.base)))
+	d.silence = min(max(time.Duration(silentFactor*float64(d.p50)), silentLeast), silentMost)
 }
 
 func (d *desk) answer(slot int32, whole bool) {
@@ -572,10 +575,17 @@
 			if p.copied || !inTime || !t.SecondCopies || s.typ.Effect != broker.Idempotent || p.live > 1 {
 				continue
 			}
-			if due := p.tries[len(p.tries)-1].at + d.copyAfter(s); due > l.now {
+			a := p.tries[len(p.tries)-1]
+			if due := a.at + d.copyAfter(s); due > l.now {
 				d.next = min(d.next, due)
 				continue
 			}
+			// Danger: copies made while everything is slow join the crowd they flee from and keep a jam alive.
+			// Then only parts held by a distrusted node are copied. It may hurt where half the nodes turn slow.
+			if d.board[a.node].mode >= cold && float64(d.p50) > crowdMost*float64(d.base) {
+				d.next = min(d.next, l.now+poll)
+				continue
+			}
 		}
 		at := int32(-1)
 		if d.tokens >= 1 && d.inBudget() {
--- a/logic/state.go
+++ b/logic/state.go
@@ -179,7 +179,8 @@
 	taken    int
 	p50      time.Duration
 	p95      time.Duration
-	slope    float64 // expected latency over (calls out a node + 1)
+	base     time.Duration // low point of p50
+	slope    float64       // expected latency over (calls out a node + 1)
 	rates    []rate
 	total    rate
 	asks     []time.Duration // rule 6: items taken and further sub-requests in the window
