Each failed trial of a distrusted node doubles the wait for the next

Cause: a trial that failed within milliseconds (refused, error) never doubled the wait, so nodes that refuse at once got 4 parts a second from each broker; trust regained for under 2 s also began anew at 0.2 s. Also covers flapping nodes; may hurt a node that errs briefly and often.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,7 +33,8 @@
 	doubtTrust   = 0.25
 	backoffFirst = 200 * time.Millisecond
 	backoffMost  = 3 * time.Second
-	coldSafety   = 0.45 // share of the cold rule's limit that is used
+	flapWithin   = 2 * time.Second // distrusted again so soon after its trust came back, it is tried ever rarer
+	coldSafety   = 0.45            // share of the cold rule's limit that is used
 	coldPace     = 250 * time.Millisecond
 
 	loadStep = 0.05 // weight of one latency in the load model
@@ -109,7 +110,7 @@
 		n.ready = false
 	case sent:
 		if !n.trusted {
-			n.until = now + n.backoff
+			n.until, n.trying = now+n.backoff, true
 		}
 	case ended:
 		n.ended(k)
@@ -137,7 +138,7 @@
 		}
 		if !n.trusted {
 			if n.until = now; n.doubt < doubtTrust {
-				n.trusted, n.backoff = true, 0
+				n.trusted, n.regained = true, now
 				n.l.logf("%v trusted: doubt %.2f", n.id, n.doubt)
 			}
 		}
@@ -158,13 +159,17 @@
 
 // distrust sends a node no work but a lone part now and then, ever rarer while it fails.
 func (n *node) distrust(why string, figure float64) {
+	now := n.l.now
 	if n.trusted {
 		n.l.logf("%v shut: %s (%.2f)", n.id, why, figure)
+	}
+	switch {
+	case n.trusted && now-n.regained > flapWithin:
 		n.backoff = backoffFirst
-	} else if n.l.now >= n.until-n.backoff/2 {
-		n.backoff = min(2*n.backoff, backoffMost)
+	case n.trusted || n.trying:
+		n.backoff = min(max(2*n.backoff, backoffFirst), backoffMost)
 	}
-	n.trusted, n.until = false, n.l.now+n.backoff
+	n.trusted, n.trying, n.until = false, false, now+n.backoff
 }
 
 // tell lets the desk know the node's mode.
--- a/logic/state.go
+++ b/logic/state.go
@@ -145,22 +145,24 @@
 
 // node judges the health of one store node.
 type node struct {
-	l       *Logic
-	box     inbox
-	at      int32
-	id      broker.NodeID
-	cell    int
-	boot    time.Duration
-	ready   bool
-	trusted bool
-	downed  bool // its connections broke: when it lives again, it may have started anew
-	doubt   float64
-	backoff time.Duration
-	until   time.Duration
-	heard   time.Duration
-	warming bool
-	since   time.Duration // cold start
-	told    note
+	l        *Logic
+	box      inbox
+	at       int32
+	id       broker.NodeID
+	cell     int
+	boot     time.Duration
+	ready    bool
+	trusted  bool
+	trying   bool          // a trial is out
+	regained time.Duration // when it was last trusted anew
+	downed   bool          // its connections broke: when it lives again, it may have started anew
+	doubt    float64
+	backoff  time.Duration
+	until    time.Duration
+	heard    time.Duration
+	warming  bool
+	since    time.Duration // cold start
+	told     note
 }
 
 // desk holds the searches in hand and sends their parts.
