Refuse earlier and over a shorter range of expected wait

Cause: refusal from 0.45 to 1.0 of the time left let queues reach the deadline, so most work ended late.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,8 +38,8 @@
 	coldPace     = 250 * time.Millisecond
 
 	loadStep = 0.05 // weight of one latency in the load model
-	shedLow  = 0.45 // expected wait over time left: refusing starts here
-	shedHigh = 1.0  // and is complete here
+	shedLow  = 0.35 // expected wait over time left: refusing starts here
+	shedHigh = 0.6  // and is complete here
 	overBias = 1.6  // a tenant beyond its share is refused as if the wait were so much longer
 	overRate = 1.3
 	rateFast = 3 * time.Second
