Count each call of a limping node as several

Cause: with few parts out a node several times slower than its like still looks idle, and every search that meets it waits. Its calls now weigh as many as its latency over the fleet's p50, from 2.5 on.

--- a/logic/actors.go
+++ b/logic/actors.go
@@ -30,6 +30,8 @@
 	took    time.Duration
 	limit   time.Duration
 	share   float64
+	slow    float64
+	limp    time.Duration // tick: the fleet's p50
 	ev      *broker.Event
 	entry   broker.Entry
 }
@@ -129,7 +131,7 @@
 	l.post(&l.keeper.box, note{kind: tick})
 	for i, n := range l.nodes {
 		b := &l.desk.board[i]
-		k := note{kind: tick, limit: l.desk.silence}
+		k := note{kind: tick, limit: l.desk.silence, limp: l.desk.p50}
 		if len(b.calls) > 0 {
 			k.took = max(1, now-b.calls[0].at)
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,6 +7,7 @@
 package logic
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -28,6 +29,11 @@
 	silentFactor = 5.0 // silent: nothing heard for so many p50
 	silentLeast  = 400 * time.Millisecond
 	silentMost   = 1500 * time.Millisecond
+	limpOn       = 2.5 // limping: its latency over the fleet's p50
+	limpOff      = 1.8
+	limpMost     = 10.0
+	limpStep     = 0.25 // weight of one latency
+	limpFade     = 5 * time.Second
 	doubtStep    = 0.3 // weight of one outcome in a node's error share
 	doubtShut    = 0.45
 	doubtTrust   = 0.25
@@ -78,9 +84,9 @@
 			}
 			at = int32(len(l.nodes))
 			l.byID[e.Node] = at
-			l.nodes = append(l.nodes, &node{l: l, at: at, id: e.Node, boot: broker.NoBoot, trusted: true})
+			l.nodes = append(l.nodes, &node{l: l, at: at, id: e.Node, boot: broker.NoBoot, trusted: true, slow: 1})
 			l.nodes[at].box.to = l.nodes[at]
-			l.desk.board = append(l.desk.board, seat{id: e.Node})
+			l.desk.board = append(l.desk.board, seat{id: e.Node, slow: 1})
 		}
 		l.post(&l.nodes[at].box, note{kind: listed, entry: e})
 	}
@@ -121,6 +127,7 @@
 		if wait := min(k.took, now-n.heard); n.trusted && k.took > 0 && wait > k.limit {
 			n.distrust("silent", wait.Seconds())
 		}
+		n.limp(k)
 	}
 	n.tell()
 }
@@ -131,6 +138,7 @@
 	case broker.OK:
 		n.heard = now
 		n.doubt -= doubtStep * n.doubt
+		n.learn(k.took)
 		if n.downed {
 			// Danger: a process that came back is cold before the list says so.
 			n.downed, n.warming, n.since = false, true, now
@@ -142,6 +150,10 @@
 				n.l.logf("%v trusted: doubt %.2f", n.id, n.doubt)
 			}
 		}
+	case broker.Cancelled:
+		if k.took > n.lat {
+			n.learn(k.took) // a loser would have taken longer still
+		}
 	case broker.Errored:
 		n.heard = now
 		n.doubt += doubtStep * (1 - n.doubt)
@@ -157,6 +169,37 @@
 	}
 }
 
+func (n *node) learn(took time.Duration) {
+	if n.lat == 0 {
+		n.lat = took
+	}
+	n.lat += time.Duration(limpStep * float64(took-n.lat))
+}
+
+// limp weighs a node's latency, or the age of its oldest part, against the fleet's p50.
+// Danger: a node several times slower than its like (slow machine, busy neighbour, crowd sent by other brokers)
+// still looks idle to a broker with few parts out, and holds up every search that meets it. While it limps, each
+// of its calls counts as several. It may hurt where one set of nodes is busier than all others: p50 is the fleet's.
+func (n *node) limp(k *note) {
+	now := n.l.now
+	if n.lat > k.limp {
+		fade := min(1, float64(now-n.ticked)/float64(limpFade))
+		n.lat -= time.Duration(fade * float64(n.lat-k.limp))
+	}
+	n.ticked = now
+	ratio := min(limpMost, float64(max(n.lat, k.took))/float64(k.limp))
+	switch {
+	case n.slow == 1 && ratio >= limpOn:
+		n.slow = math.Floor(ratio)
+		n.l.logf("%v limps: %.1f times p50 %v", n.id, ratio, k.limp)
+	case n.slow > 1 && ratio < limpOff:
+		n.slow = 1
+		n.l.logf("%v limps no more", n.id)
+	case n.slow > 1 && math.Abs(ratio-n.slow) > 1:
+		n.slow = max(2, math.Floor(ratio))
+	}
+}
+
 // distrust sends a node no work but a lone part now and then, ever rarer while it fails.
 func (n *node) distrust(why string, figure float64) {
 	now := n.l.now
@@ -174,7 +217,7 @@
 
 // tell lets the desk know the node's mode.
 func (n *node) tell() {
-	k := note{kind: standing, node: n.at, mode: fit, share: 1}
+	k := note{kind: standing, node: n.at, mode: fit, share: 1, slow: n.slow}
 	t := n.l.t
 	if n.warming {
 		// Danger (rule 4): all brokers at once push a cold node over. Capacity grows no slower than evenly, and
@@ -223,7 +266,7 @@
 		if n.mode != cold && b.mode == cold || b.mode != cold {
 			b.ration = 0
 		}
-		b.mode, b.share, b.cell = n.mode, n.share, n.entry.Cell
+		b.mode, b.share, b.slow, b.cell = n.mode, n.share, n.slow, n.entry.Cell
 	case sweep:
 		d.sweep()
 	case event:
@@ -495,7 +538,7 @@
 // pick chooses a holder of the part: fewest calls out, ties at random. First sends also go, one at a time, to a
 // distrusted node whose trial is due. Where every holder is distrusted, the least busy still gets a little.
 func (d *desk) pick(s *search, p *part, first, again bool) int32 {
-	l, best, ties := d.l, int32(-1), 0
+	l, best, least, ties := d.l, int32(-1), 0.0, 0
 	bestShut := int32(-1)
 	for i := range d.board {
 		b := &d.board[i]
@@ -516,13 +559,14 @@
 		case b.mode == cold && b.ration < 1 && !(d.warm() == 0 && len(b.calls) == 0 && l.now-b.last >= coldPace):
 			continue
 		}
-		if best >= 0 && len(b.calls) > len(d.board[best].calls) {
-			continue
-		}
-		if best < 0 || len(b.calls) < len(d.board[best].calls) {
-			best, ties = int32(i), 1
-		} else if ties++; l.rand()*float64(ties) < 1 {
-			best = int32(i)
+		cost := b.slow * float64(len(b.calls)+1)
+		switch {
+		case best < 0 || cost < least:
+			best, least, ties = int32(i), cost, 1
+		case cost == least:
+			if ties++; l.rand()*float64(ties) < 1 {
+				best = int32(i)
+			}
 		}
 	}
 	if best < 0 {
@@ -587,7 +631,7 @@
 			}
 			// Danger: copies made while everything is slow join the crowd they flee from and keep a jam alive.
 			// Then only parts held by a distrusted node are copied. It may hurt where half the nodes turn slow.
-			if d.board[a.node].mode >= cold && float64(d.p50) > crowdMost*float64(d.base) {
+			if b := &d.board[a.node]; b.mode >= cold && float64(d.p50) > crowdMost*float64(d.base) {
 				d.next = min(d.next, l.now+poll)
 				continue
 			}
--- a/logic/state.go
+++ b/logic/state.go
@@ -13,6 +13,7 @@
 	cell   int
 	mode   mode
 	share  float64
+	slow   float64 // how many calls one of its calls counts for
 	ration float64 // parts a cold node may be sent now
 	last   time.Duration
 	calls  []call // out, oldest first
@@ -156,6 +157,9 @@
 	trying   bool          // a trial is out
 	regained time.Duration // when it was last trusted anew
 	downed   bool          // its connections broke: when it lives again, it may have started anew
+	lat      time.Duration
+	slow     float64
+	ticked   time.Duration
 	doubt    float64
 	backoff  time.Duration
 	until    time.Duration
@@ -243,14 +247,14 @@
 
 // load is how many calls this broker has out at a usable node of the cell, on average.
 func (d *desk) load(cell int) float64 {
-	calls, usable := 0, 0
+	calls, usable := 0, 0.0
 	for i := range d.board {
 		if b := &d.board[i]; b.cell == cell && b.mode >= cold {
 			usable++
 			calls += len(b.calls)
 		}
 	}
-	return float64(calls) / float64(max(1, usable))
+	return float64(calls) / max(1, usable)
 }
 
 // warm counts the nodes that are neither cold nor distrusted.
