Learn the expected wait of each set of nodes apart

Told from overload by the other sets' p50 of 0.12 s. Covers any trouble that strikes one set: hot keys, all copies slow, a crash of several.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,7 +43,7 @@
 	coldSafety   = 0.45            // share of the cold rule's limit that is used
 	coldPace     = 250 * time.Millisecond
 
-	loadStep = 0.05 // weight of one latency in the load model
+	loadStep = 0.1  // weight of one latency in the load model
 	shedLow  = 0.35 // expected wait over time left: refusing starts here
 	shedHigh = 0.6  // and is complete here
 	overBias = 1.6  // a tenant beyond its share is refused as if the wait were so much longer
@@ -251,6 +251,7 @@
 	d.refs = map[uint64]ref{}
 	d.tokens = capDepth / 2
 	d.silence = silentMost
+	d.slopes = make([]float64, l.t.Cells)
 	d.rates = make([]rate, len(l.t.Tenants))
 	least := never
 	for i := range l.t.Types {
@@ -338,7 +339,10 @@
 		p.done = true
 		d.slab[r.slot].got += p.weight
 		d.record(e.Took)
-		d.slope += loadStep * (float64(e.Took)/(a.load+1) - d.slope)
+		if known {
+			k := &d.slopes[d.board[at].cell%l.t.Cells]
+			*k += loadStep * (float64(e.Took)/(a.load+1) - *k)
+		}
 		d.cancel(p)
 	case broker.Refused, broker.ConnectFailed, broker.NeverSent:
 	default:
@@ -489,7 +493,8 @@
 	l := d.l
 	wait := 0.0
 	for i := range s.parts {
-		wait = max(wait, d.slope*(d.load(s.parts[i].shard%l.t.Cells)+1))
+		cell := s.parts[i].shard % l.t.Cells
+		wait = max(wait, d.slopes[cell]*(d.load(cell)+1))
 	}
 	x := wait / float64(max(1, s.deadline-l.now))
 	if d.over(s.tenant) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -186,7 +186,7 @@
 	p50      time.Duration
 	p95      time.Duration
 	base     time.Duration // low point of p50
-	slope    float64       // expected latency over (calls out a node + 1)
+	slopes   []float64     // for each cell: expected latency over (calls out a node + 1)
 	rates    []rate
 	total    rate
 	asks     []time.Duration // rule 6: items taken and further sub-requests in the window
