--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,10 +43,12 @@
 	coldSafety   = 0.45            // share of the cold rule's limit that is used
 	coldPace     = 250 * time.Millisecond
 
-	loadStep = 0.1  // weight of one latency in the load model
-	shedLow  = 0.35 // expected wait over time left: refusing starts here
-	shedHigh = 0.6  // and is complete here
-	overBias = 1.6  // a tenant beyond its share is refused as if the wait were so much longer
+	loadStep = 0.1         // weight of one latency in the load model
+	atOnce   = 3.0         // a node works on several parts at once: latency is held to grow with (calls out + this)
+	loadFade = time.Second // without news, a set of nodes is taken for a usual one again (else refusal lasts forever)
+	shedLow  = 0.3         // expected wait over time left: refusing starts here
+	shedHigh = 0.5         // and is complete here
+	overBias = 1.6         // a tenant beyond its share is refused as if the wait were so much longer
 	overRate = 1.3
 	rateFast = 3 * time.Second
 	rateSlow = 20 * time.Second
@@ -251,7 +253,7 @@
 	d.refs = map[uint64]ref{}
 	d.tokens = capDepth / 2
 	d.silence = silentMost
-	d.slopes = make([]float64, l.t.Cells)
+	d.slopes = make([]slope, l.t.Cells)
 	d.rates = make([]rate, len(l.t.Tenants))
 	least := never
 	for i := range l.t.Types {
@@ -341,7 +343,8 @@
 		d.record(e.Took)
 		if known {
 			k := &d.slopes[d.board[at].cell%l.t.Cells]
-			*k += loadStep * (float64(e.Took)/(a.load+1) - *k)
+			k.of += loadStep * (float64(e.Took)/(a.load+atOnce) - k.of)
+			k.at = l.now
 		}
 		d.cancel(p)
 	case broker.Refused, broker.ConnectFailed, broker.NeverSent:
@@ -494,7 +497,10 @@
 	wait := 0.0
 	for i := range s.parts {
 		cell := s.parts[i].shard % l.t.Cells
-		wait = max(wait, d.slopes[cell]*(d.load(cell)+1))
+		k := &d.slopes[cell]
+		usual := float64(d.p50) / atOnce
+		slope := usual + (k.of-usual)*math.Exp(-float64(l.now-k.at)/float64(loadFade))
+		wait = max(wait, slope*(d.load(cell)+atOnce))
 	}
 	x := wait / float64(max(1, s.deadline-l.now))
 	if d.over(s.tenant) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -186,7 +186,7 @@
 	p50      time.Duration
 	p95      time.Duration
 	base     time.Duration // low point of p50
-	slopes   []float64     // for each cell: expected latency over (calls out a node + 1)
+	slopes   []slope       // of each cell
 	rates    []rate
 	total    rate
 	asks     []time.Duration // rule 6: items taken and further sub-requests in the window
@@ -273,3 +273,9 @@
 	r, ok := d.refs[id]
 	return r, ok && d.slab[r.slot].gen == r.gen
 }
+
+// slope is a cell's latency over (calls out a node + 1), as learned up to a time.
+type slope struct {
+	of float64
+	at time.Duration
+}
