--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,10 +44,9 @@
 	coldPace     = 250 * time.Millisecond
 
 	loadStep = 0.1         // weight of one latency in the load model
-	atOnce   = 3.0         // a node works on several parts at once: latency is held to grow with (calls out + this)
 	loadFade = time.Second // without news, a set of nodes is taken for a usual one again (else refusal lasts forever)
-	shedLow  = 0.3         // expected wait over time left: refusing starts here
-	shedHigh = 0.5         // and is complete here
+	shedLow  = 0.35        // expected wait over time left: refusing starts here
+	shedHigh = 0.6         // and is complete here
 	overBias = 1.6         // a tenant beyond its share is refused as if the wait were so much longer
 	overRate = 1.3
 	rateFast = 3 * time.Second
@@ -343,7 +342,7 @@
 		d.record(e.Took)
 		if known {
 			k := &d.slopes[d.board[at].cell%l.t.Cells]
-			k.of += loadStep * (float64(e.Took)/(a.load+atOnce) - k.of)
+			k.of += loadStep * (float64(e.Took)/(a.load+1) - k.of)
 			k.at = l.now
 		}
 		d.cancel(p)
@@ -498,9 +497,9 @@
 	for i := range s.parts {
 		cell := s.parts[i].shard % l.t.Cells
 		k := &d.slopes[cell]
-		usual := float64(d.p50) / atOnce
+		usual := float64(d.p50)
 		slope := usual + (k.of-usual)*math.Exp(-float64(l.now-k.at)/float64(loadFade))
-		wait = max(wait, slope*(d.load(cell)+atOnce))
+		wait = max(wait, slope*(d.load(cell)+1))
 	}
 	x := wait / float64(max(1, s.deadline-l.now))
 	if d.over(s.tenant) {
