--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,17 +43,20 @@
 	coldSafety   = 0.45            // share of the cold rule's limit that is used
 	coldPace     = 250 * time.Millisecond
 
-	loadStep = 0.1         // weight of one latency in the load model
-	loadFade = time.Second // without news, a set of nodes is taken for a usual one again (else refusal lasts forever)
-	shedLow  = 0.35        // expected wait over time left: refusing starts here
-	shedHigh = 0.6         // and is complete here
-	overBias = 1.6         // a tenant beyond its share is refused as if the wait were so much longer
-	overRate = 1.3
-	rateFast = 3 * time.Second
-	rateSlow = 20 * time.Second
-	askFirst = 500 * time.Millisecond
-	askMost  = 4 * time.Second
-	eps      = 5e-5
+	loadStep  = 0.1                    // weight of one latency in the load model
+	loadFade  = time.Second            // without news, a set of nodes is taken for a usual one again (else refusal lasts forever)
+	calmShare = 0.25                   // a wait under this share of a target is calm
+	calmFor   = 300 * time.Millisecond // a set counts as crowded once it has not been calm for so long
+	shedLow   = 0.35                   // expected wait over time left: refusing starts here
+	shedHigh  = 0.6                    // and is complete here
+	worthBias = 0.2                    // how strongly a search worth less a part than the mean is refused first
+	meanStep  = 0.02
+	overRate  = 1.3
+	rateFast  = 3 * time.Second
+	rateSlow  = 20 * time.Second
+	askFirst  = 500 * time.Millisecond
+	askMost   = 4 * time.Second
+	eps       = 5e-5
 )
 
 func (k *keeper) read(n *note) {
@@ -252,6 +255,7 @@
 	d.refs = map[uint64]ref{}
 	d.tokens = capDepth / 2
 	d.silence = silentMost
+	d.value, d.parts = 1, 1
 	d.slopes = make([]slope, l.t.Cells)
 	d.rates = make([]rate, len(l.t.Tenants))
 	least := never
@@ -490,7 +494,8 @@
 
 // refuse tells whether a new search should be turned away for lack of time.
 // Danger: under overload all searches end late and every retry adds to it. The wait expected of the busiest
-// set of nodes is held against the time left; those beyond their tenant's share go first.
+// set of nodes is held against the time left; least value for its parts goes first, so do those beyond their
+// tenant's share.
 func (d *desk) refuse(s *search) bool {
 	l := d.l
 	wait := 0.0
@@ -499,12 +504,22 @@
 		k := &d.slopes[cell]
 		usual := float64(d.p50)
 		slope := usual + (k.of-usual)*math.Exp(-float64(l.now-k.at)/float64(loadFade))
-		wait = max(wait, slope*(d.load(cell)+1))
+		w := slope * (d.load(cell) + 1)
+		if w < calmShare*float64(s.typ.Target) {
+			k.calm = l.now
+		} else if l.now-k.calm < calmFor {
+			continue // a spike that may pass
+		}
+		wait = max(wait, w)
 	}
 	x := wait / float64(max(1, s.deadline-l.now))
+	value := s.typ.Value
 	if d.over(s.tenant) {
-		x *= overBias
+		value *= l.t.OverShare
 	}
+	d.value += meanStep * (value - d.value)
+	d.parts += meanStep * (float64(len(s.parts)) - d.parts)
+	x *= math.Pow(d.value/d.parts*float64(len(s.parts))/max(value, 0.01*d.value), worthBias)
 	if on := x > shedHigh; on != d.refusing && (on || x < shedLow) {
 		d.refusing = on
 		l.logf("refusing %v: wait %.2fs, time %v", on, wait/1e9, s.deadline-l.now)
--- a/logic/state.go
+++ b/logic/state.go
@@ -171,27 +171,28 @@
 
 // desk holds the searches in hand and sends their parts.
 type desk struct {
-	l        *Logic
-	box      inbox
-	board    []seat
-	slab     []search
-	free     []int32
-	refs     map[uint64]ref
-	tokens   float64
-	next     time.Duration
-	silence  time.Duration
-	takes    [samples]time.Duration
-	sorted   [samples]time.Duration
-	taken    int
-	p50      time.Duration
-	p95      time.Duration
-	base     time.Duration // low point of p50
-	slopes   []slope       // of each cell
-	rates    []rate
-	total    rate
-	asks     []time.Duration // rule 6: items taken and further sub-requests in the window
-	extras   []time.Duration
-	refusing bool
+	l            *Logic
+	box          inbox
+	board        []seat
+	slab         []search
+	free         []int32
+	refs         map[uint64]ref
+	tokens       float64
+	next         time.Duration
+	silence      time.Duration
+	takes        [samples]time.Duration
+	sorted       [samples]time.Duration
+	taken        int
+	p50          time.Duration
+	p95          time.Duration
+	base         time.Duration // low point of p50
+	slopes       []slope       // of each cell
+	value, parts float64       // of a search, on average
+	rates        []rate
+	total        rate
+	asks         []time.Duration // rule 6: items taken and further sub-requests in the window
+	extras       []time.Duration
+	refusing     bool
 }
 
 func (r *rate) add(now time.Duration) {
@@ -276,6 +277,7 @@
 
 // slope is a cell's latency over (calls out a node + 1), as learned up to a time.
 type slope struct {
-	of float64
-	at time.Duration
+	of   float64
+	at   time.Duration
+	calm time.Duration // when a search last met a short wait here
 }
