Count a lone reset as an error, not as a restart

A node counts as started anew only when a connection could not be opened and no answer came for 1 s.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,6 +39,7 @@
 	doubtTrust   = 0.25
 	backoffFirst = 200 * time.Millisecond
 	backoffMost  = 3 * time.Second
+	downLeast    = time.Second     // no answer for so long after a failed connection: the process may have started anew
 	flapWithin   = 2 * time.Second // distrusted again so soon after its trust came back, it is tried ever rarer
 	coldSafety   = 0.45            // share of the cold rule's limit that is used
 	coldPace     = 250 * time.Millisecond
@@ -143,11 +144,13 @@
 		n.heard = now
 		n.doubt -= doubtStep * n.doubt
 		n.learn(k.took)
-		if n.downed {
-			// Danger: a process that came back is cold before the list says so.
-			n.downed, n.warming, n.since = false, true, now
-			n.l.logf("%v cold: alive after a broken connection", n.id)
+		if n.downed && now-n.broke >= downLeast {
+			// Danger: a process that came back is cold before the list says so. A lone reset, or a full table of
+			// connections, passes sooner and is no new start.
+			n.warming, n.since = true, now
+			n.l.logf("%v cold: alive %v after its connections failed", n.id, now-n.broke)
 		}
+		n.downed = false
 		if !n.trusted {
 			if n.until = now; n.doubt < doubtTrust {
 				n.trusted, n.regained = true, now
@@ -158,8 +161,11 @@
 		if k.took > n.lat {
 			n.learn(k.took) // a loser would have taken longer still
 		}
-	case broker.Errored:
+	case broker.Errored, broker.Reset:
 		n.heard = now
+		if k.outcome == broker.Reset && !n.downed {
+			n.broke = now
+		}
 		n.doubt += doubtStep * (1 - n.doubt)
 		if n.doubt > doubtShut || !n.trusted {
 			n.distrust("errors", n.doubt)
@@ -167,7 +173,10 @@
 	case broker.Refused:
 		n.heard = now
 		n.distrust("refuses", n.doubt)
-	case broker.ConnectFailed, broker.Reset:
+	case broker.ConnectFailed:
+		if !n.downed && now-n.broke > downLeast {
+			n.broke = now
+		}
 		n.downed = true
 		n.distrust("unreachable", n.doubt)
 	}
