Give up searches past their deadline while places run short

Above 0.7 of the places a search past its deadline is given up at once. Covers any cause of long waits; may hurt late value where a burst fills the places.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,6 +26,7 @@
 	fewSamples   = 24
 	poll         = 10 * time.Millisecond // a part held back is looked at again after this
 
+	placesShort  = 0.7 // above this share of the places, searches past their deadline are given up
 	silentFactor = 5.0 // silent: nothing heard for so many p50
 	silentLeast  = 400 * time.Millisecond
 	silentMost   = 1500 * time.Millisecond
@@ -414,6 +415,13 @@
 // sweep looks at every search in hand: what came in, what is due, what is new.
 func (d *desk) sweep() {
 	d.next = never
+	open := 0
+	for slot := range d.slab {
+		if s := &d.slab[slot]; s.inUse {
+			open += 1 + s.expect
+		}
+	}
+	d.short = float64(open) > placesShort*float64(d.l.t.MaxOpen)
 	for slot := range d.slab {
 		if s := &d.slab[slot]; s.inUse && s.sent {
 			d.settle(int32(slot))
@@ -460,7 +468,8 @@
 		d.answer(slot, !s.stage2 || s.whole1)
 	case enough && (now >= s.deadline || open == 0):
 		d.answer(slot, false)
-	case now >= s.last, !enough && s.got+open < least-eps:
+	// Danger: late searches that wait for silent nodes fill all places, and new ones are turned away unseen.
+	case now >= s.last, now >= s.deadline && d.short, !enough && s.got+open < least-eps:
 		d.giveUp(slot)
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -189,6 +189,7 @@
 	base         time.Duration // low point of p50
 	slopes       []slope       // of each cell
 	value, parts float64       // of a search, on average
+	short        bool          // of places
 	rates        []rate
 	total        rate
 	asks         []time.Duration // rule 6: items taken and further sub-requests in the window
