Judge silence by the waiting of all a node's calls together

Cause: a busy node fell silent for 5 p50, up to 1.5 s, before it was distrusted, most of a search's time. The waits of its calls since it was last heard now add up; 5 p50 of them, and 0.4 s, are silence.

--- a/logic/actors.go
+++ b/logic/actors.go
@@ -19,7 +19,7 @@
 	unlisted                 // node: left the list
 	sent                     // node: a part went to it
 	ended                    // node: outcome, took
-	tick                     // node: took is how long its oldest part is out (0: none), limit the bound on silence
+	tick                     // node: took is how long its oldest part is out (0: none), calls how many calls
 )
 
 type note struct {
@@ -28,7 +28,7 @@
 	outcome broker.Outcome
 	node    int32
 	took    time.Duration
-	limit   time.Duration
+	calls   int
 	share   float64
 	slow    float64
 	limp    time.Duration // tick: the fleet's p50
@@ -131,7 +131,7 @@
 	l.post(&l.keeper.box, note{kind: tick})
 	for i, n := range l.nodes {
 		b := &l.desk.board[i]
-		k := note{kind: tick, limit: l.desk.silence, limp: l.desk.p50}
+		k := note{kind: tick, calls: len(b.calls), limp: l.desk.p50}
 		if len(b.calls) > 0 {
 			k.took = max(1, now-b.calls[0].at)
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,7 +27,7 @@
 	poll         = 10 * time.Millisecond // a part held back is looked at again after this
 
 	placesShort  = 0.7 // above this share of the places, searches past their deadline are given up
-	silentFactor = 5.0 // silent: nothing heard for so many p50
+	silentFactor = 5.0 // silent: its calls have waited so many p50 together, and none was answered
 	silentLeast  = 400 * time.Millisecond
 	silentMost   = 1500 * time.Millisecond
 	limpOn       = 2.5 // limping: its latency over the fleet's p50
@@ -128,10 +128,14 @@
 		n.ended(k)
 	case tick:
 		// Danger: a node that takes parts and answers none (hung, stalled, cut off one way). It also catches
-		// one whose answers stop for any other reason; it may hurt when a whole fleet slows at once, so the
-		// bound follows p95.
-		if wait := min(k.took, now-n.heard); n.trusted && k.took > 0 && wait > k.limit {
-			n.distrust("silent", wait.Seconds())
+		// one whose answers stop for any other reason: its calls together have waited several times p50 since it
+		// was last heard. It may hurt when a whole fleet stops at once; then the least busy still get a little.
+		wait := min(k.took, now-n.heard)
+		n.unheard += time.Duration(k.calls) * min(now-n.ticked, wait)
+		if wait > silentMost || wait > silentLeast && float64(n.unheard) > silentFactor*float64(k.limp) {
+			if n.trusted {
+				n.distrust("silent", wait.Seconds())
+			}
 		}
 		n.limp(k)
 	}
@@ -142,7 +146,7 @@
 	now := n.l.now
 	switch k.outcome {
 	case broker.OK:
-		n.heard = now
+		n.heard, n.unheard = now, 0
 		n.doubt -= doubtStep * n.doubt
 		n.learn(k.took)
 		if n.downed && now-n.broke >= downLeast {
@@ -163,7 +167,7 @@
 			n.learn(k.took) // a loser would have taken longer still
 		}
 	case broker.Errored, broker.Reset:
-		n.heard = now
+		n.heard, n.unheard = now, 0
 		if k.outcome == broker.Reset && !n.downed {
 			n.broke = now
 		}
@@ -172,7 +176,7 @@
 			n.distrust("errors", n.doubt)
 		}
 	case broker.Refused:
-		n.heard = now
+		n.heard, n.unheard = now, 0
 		n.distrust("refuses", n.doubt)
 	case broker.ConnectFailed:
 		if !n.downed && now-n.broke > downLeast {
@@ -264,7 +268,6 @@
 	d.l, d.box.to, d.next = l, d, never
 	d.refs = map[uint64]ref{}
 	d.tokens = capDepth / 2
-	d.silence = silentMost
 	d.value, d.parts = 1, 1
 	d.slopes = make([]slope, l.t.Cells)
 	d.rates = make([]rate, len(l.t.Tenants))
@@ -378,7 +381,6 @@
 	slices.Sort(s)
 	d.p50, d.p95 = s[n/2], s[int(copyQuantile*float64(n))]
 	d.base = min(d.p50, time.Duration(baseCreep*float64(d.base)))
-	d.silence = min(max(time.Duration(silentFactor*float64(d.p50)), silentLeast), silentMost)
 }
 
 func (d *desk) answer(slot int32, whole bool) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -164,6 +164,7 @@
 	doubt    float64
 	backoff  time.Duration
 	until    time.Duration
+	unheard  time.Duration // how long its calls have waited together since
 	heard    time.Duration
 	warming  bool
 	since    time.Duration // cold start
@@ -180,7 +181,6 @@
 	refs         map[uint64]ref
 	tokens       float64
 	next         time.Duration
-	silence      time.Duration
 	takes        [samples]time.Duration
 	sorted       [samples]time.Duration
 	taken        int
