--- a/logic/logic.go
+++ b/logic/logic.go
@@ -49,8 +49,8 @@
 	loadFade  = time.Second            // without news, a set of nodes is taken for a usual one again (else refusal lasts forever)
 	calmShare = 0.25                   // a wait under this share of a target is calm
 	calmFor   = 300 * time.Millisecond // a set counts as crowded once it has not been calm for so long
-	shedLow   = 0.35                   // expected wait over time left: refusing starts here
-	shedHigh  = 0.6                    // and is complete here
+	shedLow   = 0.4                    // expected wait over time left: refusing starts here
+	shedHigh  = 0.65                   // and is complete here
 	worthBias = 0.2                    // how strongly a search worth less a part than the mean is refused first
 	meanStep  = 0.02
 	overRate  = 1.3
@@ -81,28 +81,7 @@
 		return
 	}
 	k.backoff = askFirst
-	for i := range n.ev.Entries {
-		e := n.ev.Entries[i]
-		at, known := l.byID[e.Node]
-		if !known {
-			if e.State == broker.Gone {
-				continue
-			}
-			at = int32(len(l.nodes))
-			l.byID[e.Node] = at
-			l.nodes = append(l.nodes, &node{l: l, at: at, id: e.Node, boot: broker.NoBoot, trusted: true, slow: 1})
-			l.nodes[at].box.to = l.nodes[at]
-			l.desk.board = append(l.desk.board, seat{id: e.Node, slow: 1})
-		}
-		l.post(&l.nodes[at].box, note{kind: listed, entry: e})
-	}
-	if n.ev.Kind == broker.ListFull {
-		for _, nd := range l.nodes {
-			if !slices.ContainsFunc(n.ev.Entries, func(e broker.Entry) bool { return e.Node == nd.id }) {
-				l.post(&nd.box, note{kind: unlisted})
-			}
-		}
-	}
+	k.merge(n.ev)
 }
 
 func (n *node) read(k *note) {
@@ -209,10 +188,8 @@
 	switch {
 	case n.slow == 1 && ratio >= limpOn:
 		n.slow = math.Floor(ratio)
-		n.l.logf("%v limps: %.1f times p50 %v", n.id, ratio, k.limp)
 	case n.slow > 1 && ratio < limpOff:
 		n.slow = 1
-		n.l.logf("%v limps no more", n.id)
 	case n.slow > 1 && math.Abs(ratio-n.slow) > 1:
 		n.slow = max(2, math.Floor(ratio))
 	}
@@ -278,32 +255,6 @@
 	d.p50, d.p95, d.base = least/8, least/2, least/8
 }
 
-func (d *desk) read(n *note) {
-	switch n.kind {
-	case standing:
-		b := &d.board[n.node]
-		if n.mode != cold && b.mode == cold || b.mode != cold {
-			b.ration = 0
-		}
-		b.mode, b.share, b.slow, b.cell = n.mode, n.share, n.slow, n.entry.Cell
-	case sweep:
-		d.sweep()
-	case event:
-		switch n.ev.Kind {
-		case broker.SearchIn:
-			d.take(n.ev)
-		case broker.PartIn:
-			d.addPart(n.ev)
-		case broker.Ended:
-			d.ended(n.ev)
-		case broker.Left:
-			if r, ok := d.find(n.ev.ID); ok && r.part < 0 {
-				d.drop(r.slot)
-			}
-		}
-	}
-}
-
 func (d *desk) take(e *broker.Event) {
 	l := d.l
 	if e.Type >= len(l.t.Types) {
@@ -311,13 +262,7 @@
 		l.out = append(l.out, broker.Action{Kind: broker.Fail, ID: e.ID})
 		return
 	}
-	var slot int32
-	if n := len(d.free); n > 0 {
-		slot, d.free = d.free[n-1], d.free[:n-1]
-	} else {
-		slot = int32(len(d.slab))
-		d.slab = append(d.slab, search{})
-	}
+	slot := d.place()
 	t := &l.t.Types[e.Type]
 	s := &d.slab[slot]
 	*s = search{gen: s.gen, id: e.ID, inUse: true, serial: e.Serial, typ: t, tenant: e.Tenant, expect: int(e.Weight),
--- a/logic/state.go
+++ b/logic/state.go
@@ -283,3 +283,67 @@
 	at   time.Duration
 	calm time.Duration // when a search last met a short wait here
 }
+
+func (d *desk) read(n *note) {
+	switch n.kind {
+	case standing:
+		b := &d.board[n.node]
+		if n.mode != cold && b.mode == cold || b.mode != cold {
+			b.ration = 0
+		}
+		b.mode, b.share, b.slow, b.cell = n.mode, n.share, n.slow, n.entry.Cell
+	case sweep:
+		d.sweep()
+	case event:
+		switch n.ev.Kind {
+		case broker.SearchIn:
+			d.take(n.ev)
+		case broker.PartIn:
+			d.addPart(n.ev)
+		case broker.Ended:
+			d.ended(n.ev)
+		case broker.Left:
+			if r, ok := d.find(n.ev.ID); ok && r.part < 0 {
+				d.drop(r.slot)
+			}
+		}
+	}
+}
+
+// merge takes over a list, or the lines that changed, and tells the nodes.
+func (k *keeper) merge(ev *broker.Event) {
+	l := k.l
+	for i := range ev.Entries {
+		e := ev.Entries[i]
+		at, known := l.byID[e.Node]
+		if !known {
+			if e.State == broker.Gone {
+				continue
+			}
+			at = int32(len(l.nodes))
+			l.byID[e.Node] = at
+			l.nodes = append(l.nodes, &node{l: l, at: at, id: e.Node, boot: broker.NoBoot, trusted: true, slow: 1})
+			l.nodes[at].box.to = l.nodes[at]
+			l.desk.board = append(l.desk.board, seat{id: e.Node, slow: 1})
+		}
+		l.post(&l.nodes[at].box, note{kind: listed, entry: e})
+	}
+	if ev.Kind == broker.ListFull {
+		for _, nd := range l.nodes {
+			if !slices.ContainsFunc(ev.Entries, func(e broker.Entry) bool { return e.Node == nd.id }) {
+				l.post(&nd.box, note{kind: unlisted})
+			}
+		}
+	}
+}
+
+// place finds a free place in the slab.
+func (d *desk) place() int32 {
+	if n := len(d.free); n > 0 {
+		slot := d.free[n-1]
+		d.free = d.free[:n-1]
+		return slot
+	}
+	d.slab = append(d.slab, search{})
+	return int32(len(d.slab) - 1)
+}
