--- a/logic/logic.go
+++ b/logic/logic.go
@@ -101,6 +101,9 @@
 		n.ready = false
 	case sent:
 		if !n.trusted {
+			if n.trying { // the trial before this one was never answered
+				n.backoff = min(2*n.backoff, backoffMost)
+			}
 			n.until, n.trying = now+n.backoff, true
 		}
 	case ended:
@@ -626,18 +629,22 @@
 				continue
 			}
 		}
-		at := int32(-1)
-		if d.tokens >= 1 && d.inBudget() {
-			if at = d.pick(s, p, false, p.live == 0); at >= 0 {
-				d.tokens--
-				if t.ExtraWindow > 0 {
-					d.extras = append(d.extras, l.now)
-				}
-				p.resent, p.copied = p.resent || p.live == 0, p.copied || p.live > 0
-				d.send(p, at)
+		at := d.pick(s, p, false, false)
+		if at < 0 && p.live == 0 {
+			if at = d.pick(s, p, false, true); at < 0 {
+				p.dead = true
 				continue
 			}
 		}
+		if at >= 0 && d.tokens >= 1 && d.inBudget() {
+			d.tokens--
+			if t.ExtraWindow > 0 {
+				d.extras = append(d.extras, l.now)
+			}
+			p.resent, p.copied = p.resent || p.live == 0, p.copied || p.live > 0
+			d.send(p, at)
+			continue
+		}
 		d.next = min(d.next, l.now+poll)
 	}
 }
