--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,6 +43,7 @@
 	downLeast    = time.Second     // no answer for so long after a failed connection: the process may have started anew
 	flapWithin   = 2 * time.Second // distrusted again so soon after its trust came back, it is tried ever rarer
 	coldSafety   = 0.45            // share of the cold rule's limit that is used
+	coldSpread   = 1.6
 	coldPace     = 250 * time.Millisecond
 
 	loadStep  = 0.1                    // weight of one latency in the load model
@@ -549,7 +550,7 @@
 				bestShut = int32(i)
 			}
 			continue
-		case b.mode == cold && b.ration < 1 && !(d.warm() == 0 && len(b.calls) == 0 && l.now-b.last >= coldPace):
+		case b.mode == cold && min(b.ration, b.bound) < 1 && !(d.warm(-1) == 0 && len(b.calls) == 0 && l.now-b.last >= coldPace):
 			continue
 		}
 		cost := b.slow * float64(len(b.calls)+1)
@@ -575,11 +576,21 @@
 		b.mode = shut
 	case cold:
 		b.ration--
+		b.bound--
 	case fit:
-		warm := float64(d.warm())
+		// A like warm node is one of the same set; yet no more than coldSpread of what a warm node gets on average,
+		// as a set short of nodes may be sent more than it can do.
 		for i := range d.board {
-			if c := &d.board[i]; c.mode == cold {
-				c.ration = min(2, c.ration+c.share/warm)
+			c := &d.board[i]
+			if c.mode != cold {
+				continue
+			}
+			all, like := c.share/float64(d.warm(-1)), float64(d.warm(c.cell))
+			c.bound = min(2, c.bound+coldSpread*all)
+			if like == 0 {
+				c.ration = min(2, c.ration+all)
+			} else if c.cell == b.cell {
+				c.ration = min(2, c.ration+c.share/like)
 			}
 		}
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -14,7 +14,8 @@
 	mode   mode
 	share  float64
 	slow   float64 // how many calls one of its calls counts for
-	ration float64 // parts a cold node may be sent now
+	ration float64 // parts a cold node may be sent now, by its like
+	bound  float64 // and by the average of all
 	last   time.Duration
 	calls  []call // out, oldest first
 }
@@ -261,10 +262,10 @@
 }
 
 // warm counts the nodes that are neither cold nor distrusted.
-func (d *desk) warm() int {
+func (d *desk) warm(cell int) int {
 	n := 0
 	for i := range d.board {
-		if d.board[i].mode == fit {
+		if b := &d.board[i]; b.mode == fit && (cell < 0 || b.cell == cell) {
 			n++
 		}
 	}
@@ -289,7 +290,7 @@
 	case standing:
 		b := &d.board[n.node]
 		if n.mode != cold && b.mode == cold || b.mode != cold {
-			b.ration = 0
+			b.ration, b.bound = 0, 0
 		}
 		b.mode, b.share, b.slow, b.cell = n.mode, n.share, n.slow, n.entry.Cell
 	case sweep:
