--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,7 +42,7 @@
 	backoffMost  = 3 * time.Second
 	downLeast    = time.Second     // no answer for so long after a failed connection: the process may have started anew
 	flapWithin   = 2 * time.Second // distrusted again so soon after its trust came back, it is tried ever rarer
-	coldSafety   = 0.45            // share of the cold rule's limit that is used
+	coldSafety   = 0.6            // share of the cold rule's limit that is used
 	coldSpread   = 1.6
 	coldPace     = 250 * time.Millisecond
 
