--- a/logic/logic.go
+++ b/logic/logic.go
@@ -664,7 +664,7 @@
 	if d.taken < fewSamples {
 		return s.typ.Target / 2
 	}
-	return min(d.p95, s.typ.Target/2)
+	return d.p95
 }
 
 // mayRepeat tells whether a part whose sub-requests have all ended may be sent again (rule 2).
