Leave out parts of crowded sets where a search may be answered in part

Cause: one crowded set refused whole searches that could do without it; which parts to ask for is left open by the design. Parts whose set is held too slow are not asked for while the rest reaches the floor. Covers any trouble of one set; may give a partial answer where a whole one would just have come.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -436,7 +436,7 @@
 	// A search that lacks a holder for too many parts is given up before any work is spent on it.
 	reach := 0.0
 	for i := range s.parts {
-		if p := &s.parts[i]; d.pick(s, p, true, false) >= 0 {
+		if p := &s.parts[i]; !p.dead && d.pick(s, p, true, false) >= 0 {
 			reach += p.weight
 		} else {
 			p.dead = true
@@ -462,38 +462,48 @@
 }
 
 // refuse tells whether a new search should be turned away for lack of time.
-// Danger: under overload all searches end late and every retry adds to it. The wait expected of the busiest
-// set of nodes is held against the time left; least value for its parts goes first, so do those beyond their
-// tenant's share.
+// Danger: under overload all searches end late and every retry adds to it. The wait expected of each set of
+// nodes is held against the time left; least value for its parts goes first, so does what is beyond its tenant's
+// share. A search that may be answered in part leaves out the parts held by crowded sets, down to its floor.
 func (d *desk) refuse(s *search) bool {
 	l := d.l
-	wait := 0.0
-	for i := range s.parts {
-		cell := s.parts[i].shard % l.t.Cells
-		k := &d.slopes[cell]
-		usual := float64(d.p50)
-		slope := usual + (k.of-usual)*math.Exp(-float64(l.now-k.at)/float64(loadFade))
-		w := slope * (d.load(cell) + 1)
-		if w < calmShare*float64(s.typ.Target) {
-			k.calm = l.now
-		} else if l.now-k.calm < calmFor {
-			continue // a spike that may pass
-		}
-		wait = max(wait, w)
-	}
-	x := wait / float64(max(1, s.deadline-l.now))
 	value := s.typ.Value
 	if d.over(s.tenant) {
 		value *= l.t.OverShare
 	}
 	d.value += meanStep * (value - d.value)
 	d.parts += meanStep * (float64(len(s.parts)) - d.parts)
-	x *= math.Pow(d.value/d.parts*float64(len(s.parts))/max(value, 0.01*d.value), worthBias)
-	if on := x > shedHigh; on != d.refusing && (on || x < shedLow) {
+	bias := math.Pow(d.value/d.parts*float64(len(s.parts))/max(value, 0.01*d.value), worthBias)
+	scale := bias / float64(max(1, s.deadline-l.now))
+	worst, left, bar := 0.0, 0.0, shedLow+l.rand()*(shedHigh-shedLow)
+	for i := range s.parts {
+		p := &s.parts[i]
+		x := d.wait(p.shard%l.t.Cells, s.typ.Target) * scale
+		worst = max(worst, x)
+		if x <= bar {
+			left += p.weight
+		} else {
+			p.dead = true
+		}
+	}
+	if on := worst > shedHigh; on != d.refusing && (on || worst < shedLow) {
 		d.refusing = on
-		l.logf("refusing %v: wait %.2fs, time %v", on, wait/1e9, s.deadline-l.now)
+		l.logf("refusing %v: wait %.2f of the time left, %v", on, worst, s.deadline-l.now)
 	}
-	return x > shedLow && l.rand() < (x-shedLow)/(shedHigh-shedLow)
+	return left < s.typ.Floor-eps
+}
+
+// wait is the latency expected of a part sent to a set of nodes; none while a spike may still pass.
+func (d *desk) wait(cell int, target time.Duration) float64 {
+	k, now, usual := &d.slopes[cell], d.l.now, float64(d.p50)
+	slope := usual + (k.of-usual)*math.Exp(-float64(now-k.at)/float64(loadFade))
+	w := slope * (d.load(cell) + 1)
+	if w < calmShare*float64(target) {
+		k.calm = now
+	} else if now-k.calm < calmFor {
+		return 0
+	}
+	return w
 }
 
 // over tells whether a tenant sends beyond its share of what this broker carries.
