--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,8 +50,8 @@
 	loadFade  = time.Second            // without news, a set of nodes is taken for a usual one again (else refusal lasts forever)
 	calmShare = 0.25                   // a wait under this share of a target is calm
 	calmFor   = 300 * time.Millisecond // a set counts as crowded once it has not been calm for so long
-	shedLow   = 0.6                    // expected wait over time left: refusing starts here
-	shedHigh  = 0.85                   // and is complete here
+	shedLow   = 0.5                    // expected wait over time left: refusing starts here
+	shedHigh  = 0.75                   // and is complete here
 	worthBias = 0.2                    // how strongly a search worth less a part than the mean is refused first
 	meanStep  = 0.02
 	overRate  = 1.3
