--- a/logic/logic.go
+++ b/logic/logic.go
@@ -493,11 +493,13 @@
 	return left < s.typ.Floor-eps
 }
 
-// wait is the latency expected of a part sent to a set of nodes; none while a spike may still pass.
+// wait is the latency expected of a part sent to a set of nodes, at least what the oldest call at its best node
+// has waited; none while a spike may still pass.
 func (d *desk) wait(cell int, target time.Duration) float64 {
 	k, now, usual := &d.slopes[cell], d.l.now, float64(d.p50)
 	slope := usual + (k.of-usual)*math.Exp(-float64(now-k.at)/float64(loadFade))
-	w := slope * (d.load(cell) + 1)
+	load, age := d.load(cell)
+	w := max(slope*(load+1), float64(age))
 	if w < calmShare*float64(target) {
 		k.calm = now
 	} else if now-k.calm < calmFor {
@@ -604,7 +606,8 @@
 			}
 		}
 	}
-	p.tries = append(p.tries, attempt{node: at, live: true, at: l.now, load: d.load(b.cell)})
+	load, _ := d.load(b.cell)
+	p.tries = append(p.tries, attempt{node: at, live: true, at: l.now, load: load})
 	p.live++
 	if n := len(b.calls); n > 0 && b.calls[n-1].at == l.now && b.calls[n-1].parts < l.t.BatchParts {
 		b.calls[n-1].parts++
