--- a/logic/logic.go
+++ b/logic/logic.go
@@ -420,7 +420,7 @@
 	case enough && (now >= s.deadline || open == 0):
 		d.answer(slot, false)
 	// Danger: late searches that wait for silent nodes fill all places, and new ones are turned away unseen.
-	case now >= s.last, now >= s.deadline && (d.short || d.refusing), !enough && s.got+open < least-eps:
+	case now >= s.last, now >= s.deadline && d.short, !enough && s.got+open < least-eps:
 		d.giveUp(slot)
 	}
 }
