--- a/logic/actors.go
+++ b/logic/actors.go
@@ -31,7 +31,7 @@
 	calls   int
 	share   float64
 	slow    float64
-	limp    time.Duration // tick: the fleet's p50
+	limp    time.Duration // tick: the latency it is held against
 	ev      *broker.Event
 	entry   broker.Entry
 }
@@ -131,7 +131,7 @@
 	l.post(&l.keeper.box, note{kind: tick})
 	for i, n := range l.nodes {
 		b := &l.desk.board[i]
-		k := note{kind: tick, calls: len(b.calls), limp: l.desk.p50}
+		k := note{kind: tick, calls: len(b.calls), limp: l.desk.typical(n.cell % l.t.Cells)}
 		if len(b.calls) > 0 {
 			k.took = max(1, now-b.calls[0].at)
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -309,6 +309,7 @@
 		if known {
 			k := &d.slopes[d.board[at].cell%l.t.Cells]
 			k.of += loadStep * (float64(e.Took)/(a.load+1) - k.of)
+			k.took += loadStep * (float64(e.Took) - k.took)
 			k.at = l.now
 		}
 		d.cancel(p)
@@ -496,10 +497,9 @@
 // wait is the latency expected of a part sent to a set of nodes, at least what the oldest call at its best node
 // has waited; none while a spike may still pass.
 func (d *desk) wait(cell int, target time.Duration) float64 {
-	k, now, usual := &d.slopes[cell], d.l.now, float64(d.p50)
-	slope := usual + (k.of-usual)*math.Exp(-float64(now-k.at)/float64(loadFade))
+	k, now := &d.slopes[cell], d.l.now
 	load, age := d.load(cell)
-	w := max(slope*(load+1), float64(age))
+	w := max(d.fresh(k.of, k.at)*(load+1), float64(age))
 	if w < calmShare*float64(target) {
 		k.calm = now
 	} else if now-k.calm < calmFor {
@@ -508,6 +508,19 @@
 	return w
 }
 
+// fresh is a latency learned up to a time; without news it is taken for the usual one again.
+func (d *desk) fresh(of float64, at time.Duration) float64 {
+	usual := float64(d.p50)
+	return usual + (of-usual)*math.Exp(-float64(d.l.now-at)/float64(loadFade))
+}
+
+// typical is the latency that a node of the set is held against: the fleet's p50, or the set's own latency where
+// that is longer (danger: in a crowded set all nodes look sick, and shutting some crowds the others).
+func (d *desk) typical(cell int) time.Duration {
+	k := &d.slopes[cell]
+	return max(d.p50, time.Duration(d.fresh(k.took, k.at)))
+}
+
 // over tells whether a tenant sends beyond its share of what this broker carries.
 func (d *desk) over(tenant int) bool {
 	l := d.l
