--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,13 +46,12 @@
 	coldSpread   = 1.6
 	coldPace     = 250 * time.Millisecond
 
-	spread    = 1.5                    // mean deviations that are added to an expected wait
 	loadStep  = 0.1                    // weight of one latency in the load model
 	loadFade  = time.Second            // without news, a set of nodes is taken for a usual one again (else refusal lasts forever)
-	calmShare = 0.4                    // a wait under this share of a target is calm
+	calmShare = 0.25                   // a wait under this share of a target is calm
 	calmFor   = 300 * time.Millisecond // a set counts as crowded once it has not been calm for so long
-	shedLow   = 0.8                    // expected wait over time left: refusing starts here
-	shedHigh  = 1.1                    // and is complete here
+	shedLow   = 0.5                    // expected wait over time left: refusing starts here
+	shedHigh  = 0.75                   // and is complete here
 	worthBias = 0.2                    // how strongly a search worth less a part than the mean is refused first
 	meanStep  = 0.02
 	overRate  = 1.3
@@ -309,9 +308,7 @@
 		d.record(e.Took)
 		if known {
 			k := &d.slopes[d.board[at].cell%l.t.Cells]
-			off := float64(e.Took)/(a.load+1) - k.of
-			k.of += loadStep * off
-			k.dev += loadStep * (math.Abs(off) - k.dev)
+			k.of += loadStep * (float64(e.Took)/(a.load+1) - k.of)
 			k.took += loadStep * (float64(e.Took) - k.took)
 			k.at = l.now
 		}
@@ -502,7 +499,7 @@
 func (d *desk) wait(cell int, target time.Duration) float64 {
 	k, now := &d.slopes[cell], d.l.now
 	load, age := d.load(cell)
-	w := max((d.fresh(k.of, k.at)+spread*k.dev)*(load+1), float64(age))
+	w := max(d.fresh(k.of, k.at)*(load+1), float64(age))
 	if w < calmShare*float64(target) {
 		k.calm = now
 	} else if now-k.calm < calmFor {
--- a/logic/state.go
+++ b/logic/state.go
@@ -292,7 +292,6 @@
 // slope is a cell's latency over (calls out a node + 1), as learned up to a time.
 type slope struct {
 	of   float64
-	dev  float64 // mean deviation
 	took float64 // latency alone
 	at   time.Duration
 	calm time.Duration // when a search last met a short wait here
