Hold repeats against the time their client has left of the target

Cause: in a jam half of all tries are repeats, many too late to earn anything, yet they took places and work from first tries. A try shorter than the longest seen shows how long ago its client first asked; past the target it gives way. Needs no mark from the client. May hurt a deployment whose tries differ in length for other reasons.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,20 +46,22 @@
 	coldSpread   = 1.6
 	coldPace     = 250 * time.Millisecond
 
-	loadStep  = 0.1                    // weight of one latency in the load model
-	loadFade  = time.Second            // without news, a set of nodes is taken for a usual one again (else refusal lasts forever)
-	calmShare = 0.25                   // a wait under this share of a target is calm
-	calmFor   = 300 * time.Millisecond // a set counts as crowded once it has not been calm for so long
-	shedLow   = 0.5                    // expected wait over time left: refusing starts here
-	shedHigh  = 0.75                   // and is complete here
-	worthBias = 0.2                    // how strongly a search worth less a part than the mean is refused first
-	meanStep  = 0.02
-	overRate  = 1.3
-	rateFast  = 3 * time.Second
-	rateSlow  = 20 * time.Second
-	askFirst  = 500 * time.Millisecond
-	askMost   = 4 * time.Second
-	eps       = 5e-5
+	loadStep    = 0.1                    // weight of one latency in the load model
+	loadFade    = time.Second            // without news, a set of nodes is taken for a usual one again (else refusal lasts forever)
+	calmShare   = 0.25                   // a wait under this share of a target is calm
+	calmFor     = 300 * time.Millisecond // a set counts as crowded once it has not been calm for so long
+	shedLow     = 0.5                    // expected wait over time left: refusing starts here
+	shedHigh    = 0.75                   // and is complete here
+	worthBias   = 0.2                    // how strongly a search worth less a part than the mean is refused first
+	repeatSlack = 20 * time.Millisecond
+	lateWeight  = 4 // a search whose target has passed is refused as if it had so much less time
+	meanStep    = 0.02
+	overRate    = 1.3
+	rateFast    = 3 * time.Second
+	rateSlow    = 20 * time.Second
+	askFirst    = 500 * time.Millisecond
+	askMost     = 4 * time.Second
+	eps         = 5e-5
 )
 
 func (k *keeper) read(n *note) {
@@ -250,6 +252,7 @@
 	d.refs = map[uint64]ref{}
 	d.tokens = capDepth / 2
 	d.value, d.parts = 1, 1
+	d.full = make([]time.Duration, len(l.t.Types))
 	d.slopes = make([]slope, l.t.Cells)
 	d.rates = make([]rate, len(l.t.Tenants))
 	least := never
@@ -269,7 +272,13 @@
 	slot := d.place()
 	t := &l.t.Types[e.Type]
 	s := &d.slab[slot]
-	*s = search{gen: s.gen, id: e.ID, inUse: true, serial: e.Serial, typ: t, tenant: e.Tenant, expect: int(e.Weight),
+	// A try shorter than the longest seen is a repeat cut by its client's timeout, which tells how long ago the
+	// client first asked.
+	full, spent := &d.full[e.Type], time.Duration(0)
+	if *full = max(*full, e.Left); e.Left < *full-repeatSlack {
+		spent = max(0, t.Timeout-e.Left)
+	}
+	*s = search{spent: spent, gen: s.gen, id: e.ID, inUse: true, serial: e.Serial, typ: t, tenant: e.Tenant, expect: int(e.Weight),
 		arrived: l.now, deadline: l.now + min(t.Target, e.Left) - margin,
 		last: l.now + e.Left - guardSteps*l.t.Step, parts: s.parts[:0]}
 	d.refs[e.ID] = ref{slot, -1, s.gen}
@@ -475,23 +484,27 @@
 	d.value += meanStep * (value - d.value)
 	d.parts += meanStep * (float64(len(s.parts)) - d.parts)
 	bias := math.Pow(d.value/d.parts*float64(len(s.parts))/max(value, 0.01*d.value), worthBias)
-	scale := bias / float64(max(1, s.deadline-l.now))
-	worst, left, bar := 0.0, 0.0, shedLow+l.rand()*(shedHigh-shedLow)
+	left := s.deadline - l.now - s.spent
+	if left <= 0 { // its target has passed: it gives way to those that can still earn their full value
+		left = (s.last - l.now) / lateWeight
+	}
+	scale := bias / float64(max(1, left))
+	worst, share, bar := 0.0, 0.0, shedLow+l.rand()*(shedHigh-shedLow)
 	for i := range s.parts {
 		p := &s.parts[i]
 		x := d.wait(p.shard%l.t.Cells, s.typ.Target) * scale
 		worst = max(worst, x)
 		if x <= bar {
-			left += p.weight
+			share += p.weight
 		} else {
 			p.dead = true
 		}
 	}
 	if on := worst > shedHigh; on != d.refusing && (on || worst < shedLow) {
 		d.refusing = on
-		l.logf("refusing %v: wait %.2f of the time left, %v", on, worst, s.deadline-l.now)
+		l.logf("refusing %v: wait %.2f of the time left, %v", on, worst, left)
 	}
-	return left < s.typ.Floor-eps
+	return share < s.typ.Floor-eps
 }
 
 // wait is the latency expected of a part sent to a set of nodes, at least what the oldest call at its best node
--- a/logic/state.go
+++ b/logic/state.go
@@ -58,6 +58,7 @@
 	tenant   int
 	expect   int
 	arrived  time.Duration
+	spent    time.Duration // of the client's time before this try, where that shows
 	deadline time.Duration
 	last     time.Duration
 	got      float64
@@ -187,10 +188,11 @@
 	taken        int
 	p50          time.Duration
 	p95          time.Duration
-	base         time.Duration // low point of p50
-	slopes       []slope       // of each cell
-	value, parts float64       // of a search, on average
-	short        bool          // of places
+	base         time.Duration   // low point of p50
+	slopes       []slope         // of each cell
+	value, parts float64         // of a search, on average
+	full         []time.Duration // the longest try seen, by type
+	short        bool            // of places
 	rates        []rate
 	total        rate
 	asks         []time.Duration // rule 6: items taken and further sub-requests in the window
