--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,7 +31,6 @@
 	silentLeast  = 400 * time.Millisecond
 	silentMost   = 1500 * time.Millisecond
 	limpOn       = 2.5 // limping: its latency over the fleet's p50
-	limpOff      = 1.8
 	limpMost     = 10.0
 	limpStep     = 0.25 // weight of one latency
 	limpFade     = 5 * time.Second
@@ -47,7 +46,7 @@
 	coldPace     = 250 * time.Millisecond
 
 	loadStep    = 0.1                    // weight of one latency in the load model
-	loadFade    = time.Second            // without news, a set of nodes is taken for a usual one again (else refusal lasts forever)
+	loadFade    = time.Second            // without news, a set is taken for a usual one again (else refusal never ends)
 	calmShare   = 0.25                   // a wait under this share of a target is calm
 	calmFor     = 300 * time.Millisecond // a set counts as crowded once it has not been calm for so long
 	shedLow     = 0.5                    // expected wait over time left: refusing starts here
@@ -191,13 +190,8 @@
 	}
 	n.ticked = now
 	ratio := min(limpMost, float64(max(n.lat, k.took))/float64(k.limp))
-	switch {
-	case n.slow == 1 && ratio >= limpOn:
+	if n.slow = 1; ratio >= limpOn {
 		n.slow = math.Floor(ratio)
-	case n.slow > 1 && ratio < limpOff:
-		n.slow = 1
-	case n.slow > 1 && math.Abs(ratio-n.slow) > 1:
-		n.slow = max(2, math.Floor(ratio))
 	}
 }
 
@@ -330,29 +324,14 @@
 
 // record keeps a latency and, now and then, draws the quantiles anew.
 func (d *desk) record(took time.Duration) {
-	d.takes[d.taken%samples] = took
-	if d.taken++; d.taken < fewSamples || d.taken%16 != 0 {
+	s := d.keep(took)
+	if len(s) < fewSamples {
 		return
 	}
-	n := min(d.taken, samples)
-	s := d.sorted[:n]
-	copy(s, d.takes[:n])
-	slices.Sort(s)
-	d.p50, d.p95 = s[n/2], s[int(copyQuantile*float64(n))]
+	d.p50, d.p95 = s[len(s)/2], s[int(copyQuantile*float64(len(s)))]
 	d.base = min(d.p50, time.Duration(baseCreep*float64(d.base)))
 }
 
-func (d *desk) answer(slot int32, whole bool) {
-	s := &d.slab[slot]
-	d.l.out = append(d.l.out, broker.Action{Kind: broker.Answer, ID: s.id, Whole: whole})
-	if s.typ.Fetch > 0 && !s.stage2 {
-		d.clearParts(s)
-		s.stage2, s.whole1, s.sent, s.got, s.expect = true, whole, false, 0, 0
-		return
-	}
-	d.drop(slot)
-}
-
 // giveUp sends the final answer of a search that can't be answered: a shed where that is true and allowed,
 // with the time to come back in; else a failure.
 func (d *desk) giveUp(slot int32) {
@@ -376,13 +355,7 @@
 // sweep looks at every search in hand: what came in, what is due, what is new.
 func (d *desk) sweep() {
 	d.next = never
-	open := 0
-	for slot := range d.slab {
-		if s := &d.slab[slot]; s.inUse {
-			open += 1 + s.expect
-		}
-	}
-	d.short = float64(open) > placesShort*float64(d.l.t.MaxOpen)
+	d.short = float64(d.open()) > placesShort*float64(d.l.t.MaxOpen)
 	for slot := range d.slab {
 		if s := &d.slab[slot]; s.inUse && s.sent {
 			d.settle(int32(slot))
--- a/logic/state.go
+++ b/logic/state.go
@@ -362,3 +362,37 @@
 	d.slab = append(d.slab, search{})
 	return int32(len(d.slab) - 1)
 }
+
+// answer ends a search, or its first step.
+func (d *desk) answer(slot int32, whole bool) {
+	s := &d.slab[slot]
+	d.l.out = append(d.l.out, broker.Action{Kind: broker.Answer, ID: s.id, Whole: whole})
+	if s.typ.Fetch > 0 && !s.stage2 {
+		d.clearParts(s)
+		s.stage2, s.whole1, s.sent, s.got, s.expect = true, whole, false, 0, 0
+		return
+	}
+	d.drop(slot)
+}
+
+// keep stores a latency in the ring; every 16th time it returns all kept, sorted.
+func (d *desk) keep(took time.Duration) []time.Duration {
+	d.takes[d.taken%samples] = took
+	if d.taken++; d.taken%16 != 0 {
+		return nil
+	}
+	s := d.sorted[:min(d.taken, samples)]
+	copy(s, d.takes[:])
+	slices.Sort(s)
+	return s
+}
+
+// open counts the places taken by the searches in hand.
+func (d *desk) open() (n int) {
+	for slot := range d.slab {
+		if s := &d.slab[slot]; s.inUse {
+			n += 1 + s.expect
+		}
+	}
+	return n
+}
