--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,13 +45,11 @@
 	coldSpread   = 1.6
 	coldPace     = 250 * time.Millisecond
 
-	loadStep    = 0.1                    // weight of one latency in the load model
-	loadFade    = time.Second            // without news, a set is taken for a usual one again (else refusal never ends)
-	calmShare   = 0.25                   // a wait under this share of a target is calm
-	calmFor     = 300 * time.Millisecond // a set counts as crowded once it has not been calm for so long
-	shedLow     = 0.5                    // expected wait over time left: refusing starts here
-	shedHigh    = 0.75                   // and is complete here
-	worthBias   = 0.2                    // how strongly a search worth less a part than the mean is refused first
+	loadStep    = 0.1         // weight of one latency in the load model
+	loadFade    = time.Second // without news, a set is taken for a usual one again (else refusal never ends)
+	shedLow     = 0.5         // expected wait over time left: refusing starts here
+	shedHigh    = 0.75        // and is complete here
+	worthBias   = 0.2         // how strongly a search worth less a part than the mean is refused first
 	repeatSlack = 20 * time.Millisecond
 	lateWeight  = 4 // a search whose target has passed is refused as if it had so much less time
 	meanStep    = 0.02
@@ -465,7 +463,7 @@
 	worst, share, bar := 0.0, 0.0, shedLow+l.rand()*(shedHigh-shedLow)
 	for i := range s.parts {
 		p := &s.parts[i]
-		x := d.wait(p.shard%l.t.Cells, s.typ.Target) * scale
+		x := d.wait(p.shard%l.t.Cells) * scale
 		worst = max(worst, x)
 		if x <= bar {
 			share += p.weight
@@ -481,17 +479,11 @@
 }
 
 // wait is the latency expected of a part sent to a set of nodes, at least what the oldest call at its best node
-// has waited; none while a spike may still pass.
-func (d *desk) wait(cell int, target time.Duration) float64 {
-	k, now := &d.slopes[cell], d.l.now
+// has waited.
+func (d *desk) wait(cell int) float64 {
+	k := &d.slopes[cell]
 	load, age := d.load(cell)
-	w := max(d.fresh(k.of, k.at)*(load+1), float64(age))
-	if w < calmShare*float64(target) {
-		k.calm = now
-	} else if now-k.calm < calmFor {
-		return 0
-	}
-	return w
+	return max(d.fresh(k.of, k.at)*(load+1), float64(age))
 }
 
 // fresh is a latency learned up to a time; without news it is taken for the usual one again.
--- a/logic/state.go
+++ b/logic/state.go
@@ -296,7 +296,6 @@
 	of   float64
 	took float64 // latency alone
 	at   time.Duration
-	calm time.Duration // when a search last met a short wait here
 }
 
 func (d *desk) read(n *note) {
