--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,7 +43,6 @@
 	flapWithin   = 2 * time.Second // distrusted again so soon after its trust came back, it is tried ever rarer
 	coldSafety   = 0.6             // share of the cold rule's limit that is used
 	coldSpread   = 1.6
-	coldPace     = 250 * time.Millisecond
 
 	loadStep    = 0.1         // weight of one latency in the load model
 	loadFade    = time.Second // without news, a set is taken for a usual one again (else refusal never ends)
@@ -553,7 +552,7 @@
 				bestShut = int32(i)
 			}
 			continue
-		case b.mode == cold && min(b.ration, b.bound) < 1 && !(d.warm(-1) == 0 && len(b.calls) == 0 && l.now-b.last >= coldPace):
+		case b.mode == cold && !d.mayWarm(b):
 			continue
 		}
 		cost := b.slow * float64(len(b.calls)+1)
@@ -572,14 +571,21 @@
 	return best
 }
 
+// mayWarm tells whether a cold node may be sent a part: by its ration, or, where its like are sent little or are
+// gone too, when none is out and so long has passed that all brokers doing the same stay within one core's share.
+func (d *desk) mayWarm(b *seat) bool {
+	pace := float64(d.l.t.Brokers) * float64(d.base) / b.share
+	return min(b.ration, b.bound) >= 1 || len(b.calls) == 0 && float64(d.l.now-b.last) >= pace
+}
+
 func (d *desk) send(p *part, at int32) {
 	l, b := d.l, &d.board[at]
 	switch b.mode {
 	case trial:
 		b.mode = shut
 	case cold:
-		b.ration--
-		b.bound--
+		b.ration = max(-1, b.ration-1)
+		b.bound = max(-1, b.bound-1)
 	case fit:
 		// A like warm node is one of the same set; yet no more than coldSpread of what a warm node gets on average,
 		// as a set short of nodes may be sent more than it can do.
