Expect of each part the wait at the node it would go to

The second oldest call at the chosen node is now a lower bound; a trial is taken all the same. The choice of node before sending and the refusal became one loop.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -413,18 +413,9 @@
 		d.giveUp(slot)
 		return
 	}
-	// A search that lacks a holder for too many parts is given up before any work is spent on it.
-	reach := 0.0
-	for i := range s.parts {
-		if p := &s.parts[i]; !p.dead && d.pick(s, p, true, false) >= 0 {
-			reach += p.weight
-		} else {
-			p.dead = true
-		}
-	}
 	for i := range s.parts {
 		p := &s.parts[i]
-		if p.dead || reach < s.typ.Floor-eps {
+		if p.dead {
 			continue
 		}
 		at := d.ride(s, i)
@@ -444,7 +435,8 @@
 // refuse tells whether a new search should be turned away for lack of time.
 // Danger: under overload all searches end late and every retry adds to it. The wait expected of each set of
 // nodes is held against the time left; least value for its parts goes first, so does what is beyond its tenant's
-// share. A search that may be answered in part leaves out the parts held by crowded sets, down to its floor.
+// share. A search that may be answered in part leaves out what no node holds or only crowded ones, down to its
+// floor; one that can't reach it is given up before any work is spent on it.
 func (d *desk) refuse(s *search) bool {
 	l := d.l
 	value := s.typ.Value
@@ -462,12 +454,14 @@
 	worst, share, bar := 0.0, 0.0, shedLow+l.rand()*(shedHigh-shedLow)
 	for i := range s.parts {
 		p := &s.parts[i]
-		x := d.wait(p.shard%l.t.Cells) * scale
+		at := d.pick(s, p, true, false)
+		if p.dead = at < 0; p.dead {
+			continue
+		}
+		x := d.wait(at) * scale
 		worst = max(worst, x)
-		if x <= bar {
+		if p.dead = x > bar; !p.dead {
 			share += p.weight
-		} else {
-			p.dead = true
 		}
 	}
 	if on := worst > shedHigh; on != d.refusing && (on || worst < shedLow) {
@@ -477,12 +471,16 @@
 	return share < s.typ.Floor-eps
 }
 
-// wait is the latency expected of a part sent to a set of nodes, at least what the oldest call at its best node
-// has waited.
-func (d *desk) wait(cell int) float64 {
-	k := &d.slopes[cell]
-	load, age := d.load(cell)
-	return max(d.fresh(k.of, k.at)*(load+1), float64(age))
+// wait is the latency expected of a part sent to a node: by its set's record, and no less than what the second
+// oldest of its calls has waited (the oldest may be stuck alone).
+func (d *desk) wait(at int32) float64 {
+	b := &d.board[at]
+	k := &d.slopes[b.cell%d.l.t.Cells]
+	age := time.Duration(0)
+	if n := len(b.calls); n > 0 && b.mode >= cold { // a trial is taken all the same
+		age = d.l.now - b.calls[min(1, n-1)].at
+	}
+	return max(d.fresh(k.of, k.at)*(d.load(b.cell)+1), float64(age))
 }
 
 // fresh is a latency learned up to a time; without news it is taken for the usual one again.
@@ -603,8 +601,7 @@
 			}
 		}
 	}
-	load, _ := d.load(b.cell)
-	p.tries = append(p.tries, attempt{node: at, live: true, at: l.now, load: load})
+	p.tries = append(p.tries, attempt{node: at, live: true, at: l.now, load: d.load(b.cell)})
 	p.live++
 	if n := len(b.calls); n > 0 && b.calls[n-1].at == l.now && b.calls[n-1].parts < l.t.BatchParts {
 		b.calls[n-1].parts++
--- a/logic/state.go
+++ b/logic/state.go
@@ -251,27 +251,16 @@
 	}
 }
 
-// load is how many calls this broker has out at a usable node of the cell, on average, and how long the oldest
-// call is out at the node where that is shortest.
-func (d *desk) load(cell int) (float64, time.Duration) {
-	calls, usable, oldest := 0, 0, never
+// load is how many calls this broker has out at a usable node of the cell, on average.
+func (d *desk) load(cell int) float64 {
+	calls, usable := 0, 0
 	for i := range d.board {
-		b := &d.board[i]
-		if b.cell != cell || b.mode < cold {
-			continue
-		}
-		usable++
-		calls += len(b.calls)
-		if len(b.calls) == 0 {
-			oldest = 0
-		} else {
-			oldest = min(oldest, d.l.now-b.calls[0].at)
+		if b := &d.board[i]; b.cell == cell && b.mode >= cold {
+			usable++
+			calls += len(b.calls)
 		}
 	}
-	if usable == 0 {
-		return 0, 0
-	}
-	return float64(calls) / float64(usable), oldest
+	return float64(calls) / float64(max(1, usable))
 }
 
 // warm counts the nodes that are neither cold nor distrusted.
