Judge repeats by the usual try length; count tenant rates from the start

The usual length is now the one most tries share, a client's mark is heeded where clients mark, and the rate is scaled by the time it has run.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -49,7 +49,7 @@
 	ListFull   EventKind = iota + 1 // Entries: the whole list
 	ListDelta                       // Entries: the lines that changed
 	ListFailed                      // an ask failed or the watch broke
-	SearchIn                        // ID, Serial, Type, Tenant, Left
+	SearchIn                        // ID, Serial, Type, Tenant, Left, Repeat
 	PartIn                          // ID, Serial, Shard, Weight
 	Ended                           // ID, Attempt, Outcome, Took, Node
 	Woken                           // a wake asked for came due
@@ -75,6 +75,7 @@
 type Event struct {
 	Kind    EventKind
 	Outcome Outcome
+	Repeat  bool // the client says that it asks again
 	Type    int
 	Tenant  int
 	Shard   int
@@ -138,16 +139,17 @@
 
 // Terms are what a broker is told at its start.
 type Terms struct {
-	Seed       uint64
-	Brokers    int
-	Step       time.Duration
-	Types      []SearchType
-	Tenants    []Tenant
-	OverShare  float64 // what a search beyond its tenant's share is worth
-	Cells      int
-	Width      int
-	BatchParts int
-	CallWork   time.Duration
+	Seed         uint64
+	Brokers      int
+	MarksRepeats bool // clients say when they ask again
+	Step         time.Duration
+	Types        []SearchType
+	Tenants      []Tenant
+	OverShare    float64 // what a search beyond its tenant's share is worth
+	Cells        int
+	Width        int
+	BatchParts   int
+	CallWork     time.Duration
 
 	Cancels       bool
 	SecondCopies  bool
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -243,7 +243,7 @@
 	d.refs = map[uint64]ref{}
 	d.tokens = capDepth / 2
 	d.value, d.parts = 1, 1
-	d.full = make([]time.Duration, len(l.t.Types))
+	d.lengths = make([]majority, len(l.t.Types))
 	d.slopes = make([]slope, l.t.Cells)
 	d.rates = make([]rate, len(l.t.Tenants))
 	least := never
@@ -263,10 +263,9 @@
 	slot := d.place()
 	t := &l.t.Types[e.Type]
 	s := &d.slab[slot]
-	// A try shorter than the longest seen is a repeat cut by its client's timeout, which tells how long ago the
-	// client first asked.
-	full, spent := &d.full[e.Type], time.Duration(0)
-	if *full = max(*full, e.Left); e.Left < *full-repeatSlack {
+	// A repeat shorter than the usual try was cut by its client's timeout: that tells how long ago it first asked.
+	spent := time.Duration(0)
+	if usual := d.lengths[e.Type].vote(e.Left); (e.Repeat || !l.t.MarksRepeats) && e.Left < usual-repeatSlack {
 		spent = max(0, t.Timeout-e.Left)
 	}
 	*s = search{spent: spent, gen: s.gen, id: e.ID, inUse: true, serial: e.Serial, typ: t, tenant: e.Tenant, expect: int(e.Weight),
@@ -505,7 +504,8 @@
 	r, q := &d.rates[tenant], &l.t.Tenants[tenant]
 	d.total.decay(l.now)
 	r.decay(l.now)
-	return r.fast > max(q.Quota/float64(l.t.Brokers), overRate*q.Portion*d.total.slow)
+	usual := d.total.slow / (1 - math.Exp(-float64(max(1, l.now))/float64(rateSlow))) // it began at nothing
+	return r.fast > max(q.Quota/float64(l.t.Brokers), overRate*q.Portion*usual)
 }
 
 // ride finds the node to which another part of the search, held by the same nodes, goes this turn.
--- a/logic/state.go
+++ b/logic/state.go
@@ -188,11 +188,11 @@
 	taken        int
 	p50          time.Duration
 	p95          time.Duration
-	base         time.Duration   // low point of p50
-	slopes       []slope         // of each cell
-	value, parts float64         // of a search, on average
-	full         []time.Duration // the longest try seen, by type
-	short        bool            // of places
+	base         time.Duration // low point of p50
+	slopes       []slope       // of each cell
+	value, parts float64       // of a search, on average
+	lengths      []majority    // the usual length of a try, by type
+	short        bool          // of places
 	rates        []rate
 	total        rate
 	asks         []time.Duration // rule 6: items taken and further sub-requests in the window
@@ -384,3 +384,21 @@
 	}
 	return n
 }
+
+// majority finds the value that most tries share.
+type majority struct {
+	of    time.Duration
+	votes int
+}
+
+func (m *majority) vote(v time.Duration) time.Duration {
+	switch {
+	case (v - m.of).Abs() <= repeatSlack:
+		m.votes++
+	case m.votes > 0:
+		m.votes--
+	default:
+		m.of, m.votes = v, 1
+	}
+	return m.of
+}
--- a/simwire/host.go
+++ b/simwire/host.go
@@ -21,6 +21,7 @@
 	entrySize  = 24
 	headSize   = 12
 	maxFrame   = 1 << 30
+	flagRepeat = 2
 
 	evNew, evEndpoints, evWorkItem, evOpened, evResolved, evHangup = 1, 2, 3, 4, 5, 6
 	evElapsed, evProbeDone, evDatagram, evKill, evManifest         = 7, 8, 9, 10, 11
@@ -202,7 +203,7 @@
 	case evWorkItem:
 		e.Kind, e.ID, e.Left = broker.SearchIn, be.Uint64(r[1:]), span(be.Uint64(r[9:]))
 		e.Weight, e.Type = float64(float(r[17:])), int(r[21])
-		e.Tenant, e.Serial = int(be.Uint16(r[30:])), float(r[45:])
+		e.Tenant, e.Serial, e.Repeat = int(be.Uint16(r[30:])), float(r[45:]), r[36]&flagRepeat != 0
 		if shard := float(r[32:]); shard >= 0 && shard < 1<<24 {
 			e.Kind, e.Shard = broker.PartIn, int(shard)
 		} else if !(shard < 0) {
--- a/simwire/setup.go
+++ b/simwire/setup.go
@@ -120,14 +120,15 @@
 		p.m[key] = value
 	}
 	t := broker.Terms{
-		Seed:       seed,
-		Brokers:    max(1, p.count("balancers", false, 1)),
-		Step:       p.span("stepNs", false),
-		OverShare:  p.num("overShareWorth", false, 1),
-		Cells:      p.count("domain.cells", true, 0),
-		Width:      p.count("domain.width", true, 0),
-		BatchParts: max(1, p.count("domain.partsACall", false, 1)),
-		CallWork:   p.span("domain.perCallWorkNs", false),
+		Seed:         seed,
+		Brokers:      max(1, p.count("balancers", false, 1)),
+		MarksRepeats: p.flag("clients.marksRetry"),
+		Step:         p.span("stepNs", false),
+		OverShare:    p.num("overShareWorth", false, 1),
+		Cells:        p.count("domain.cells", true, 0),
+		Width:        p.count("domain.width", true, 0),
+		BatchParts:   max(1, p.count("domain.partsACall", false, 1)),
+		CallWork:     p.span("domain.perCallWorkNs", false),
 
 		Cancels:       p.flag("permissions.cancel"),
 		SecondCopies:  p.flag("permissions.secondCopies"),
