--- a/logic/logic.go
+++ b/logic/logic.go
@@ -425,7 +425,6 @@
 			p.dead = true
 			continue
 		}
-		s.tries = s.tries || d.board[at].mode == trial
 		d.send(p, at)
 		d.tokens = min(capDepth, d.tokens+capShare)
 	}
@@ -530,7 +529,7 @@
 	return -1
 }
 
-// pick chooses a holder of the part: fewest calls out, ties at random. One first send of a search may go to a
+// pick chooses a holder of the part: fewest calls out, ties at random. First sends also go, one at a time, to a
 // distrusted node whose trial is due. Where every holder is distrusted, the least busy still gets a little.
 func (d *desk) pick(s *search, p *part, first, again bool) int32 {
 	l, best, least, ties := d.l, int32(-1), 0.0, 0
@@ -544,7 +543,7 @@
 			continue
 		}
 		switch {
-		case b.mode == trial && first && !s.tries && s.typ.Effect == broker.Idempotent:
+		case b.mode == trial && first && s.typ.Effect == broker.Idempotent:
 			return int32(i)
 		case b.mode == trial, b.mode == shut:
 			if len(b.calls) < 2 && !l.nodes[i].downed && (bestShut < 0 || len(b.calls) < len(d.board[bestShut].calls)) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -51,7 +51,6 @@
 	id       uint64
 	inUse    bool
 	sent     bool
-	tries    bool // one of its parts tries a distrusted node
 	stage2   bool
 	whole1   bool
 	serial   float32
