Ration cold nodes by the usual flow

In a jam the present flow is low because the cold nodes are missed, and starved them in turn. Their share is now of the usual flow at least (20 s), which also replaces a second account.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -244,6 +244,7 @@
 	d.tokens = capDepth / 2
 	d.value, d.parts = 1, 1
 	d.lengths = make([]majority, len(l.t.Types))
+	d.flows = make([]rate, l.t.Cells)
 	d.slopes = make([]slope, l.t.Cells)
 	d.rates = make([]rate, len(l.t.Tenants))
 	least := never
@@ -272,9 +273,9 @@
 		arrived: l.now, deadline: l.now + min(t.Target, e.Left) - margin,
 		last: l.now + e.Left - guardSteps*l.t.Step, parts: s.parts[:0]}
 	d.refs[e.ID] = ref{slot, -1, s.gen}
-	d.total.add(l.now)
+	d.total.add(l.now, 1)
 	if s.tenant < len(d.rates) {
-		d.rates[s.tenant].add(l.now)
+		d.rates[s.tenant].add(l.now, 1)
 	}
 	d.count()
 }
@@ -502,10 +503,8 @@
 		return false
 	}
 	r, q := &d.rates[tenant], &l.t.Tenants[tenant]
-	d.total.decay(l.now)
 	r.decay(l.now)
-	usual := d.total.slow / (1 - math.Exp(-float64(max(1, l.now))/float64(rateSlow))) // it began at nothing
-	return r.fast > max(q.Quota/float64(l.t.Brokers), overRate*q.Portion*usual)
+	return r.fast > max(q.Quota/float64(l.t.Brokers), overRate*q.Portion*d.total.usual(l.now))
 }
 
 // ride finds the node to which another part of the search, held by the same nodes, goes this turn.
@@ -569,11 +568,19 @@
 	return best
 }
 
-// mayWarm tells whether a cold node may be sent a part: by its ration, or, where its like are sent little or are
-// gone too, when none is out and so long has passed that all brokers doing the same stay within one core's share.
+// mayWarm tells whether a cold node may be sent a part. Its ration grows by its share of what a like warm node is
+// sent: now, in its own set, or usually, on average (a jam that lacks the cold nodes must not starve them), and no
+// more than coldSpread of the usual, as a set short of nodes may be sent more than it can do. Before anything is
+// known: when none is out, at a pace that all brokers can keep within one core's share.
 func (d *desk) mayWarm(b *seat) bool {
+	now := d.l.now
+	usual := d.flow.usual(now)
+	d.flows[b.cell%d.l.t.Cells].decay(now)
+	flow := min(max(d.flows[b.cell%d.l.t.Cells].fast, usual), coldSpread*usual)
+	b.ration = min(2, b.ration+b.share*flow*(now-b.rationed).Seconds())
+	b.rationed = now
 	pace := float64(d.l.t.Brokers) * float64(d.base) / b.share
-	return min(b.ration, b.bound) >= 1 || len(b.calls) == 0 && float64(d.l.now-b.last) >= pace
+	return b.ration >= 1 || len(b.calls) == 0 && float64(now-b.last) >= pace
 }
 
 func (d *desk) send(p *part, at int32) {
@@ -583,23 +590,9 @@
 		b.mode = shut
 	case cold:
 		b.ration = max(-1, b.ration-1)
-		b.bound = max(-1, b.bound-1)
 	case fit:
-		// A like warm node is one of the same set; yet no more than coldSpread of what a warm node gets on average,
-		// as a set short of nodes may be sent more than it can do.
-		for i := range d.board {
-			c := &d.board[i]
-			if c.mode != cold {
-				continue
-			}
-			all, like := c.share/float64(d.warm(-1)), float64(d.warm(c.cell))
-			c.bound = min(2, c.bound+coldSpread*all)
-			if like == 0 {
-				c.ration = min(2, c.ration+all)
-			} else if c.cell == b.cell {
-				c.ration = min(2, c.ration+c.share/like)
-			}
-		}
+		d.flow.add(l.now, 1/float64(d.warm(-1)))
+		d.flows[b.cell%l.t.Cells].add(l.now, 1/float64(d.warm(b.cell)))
 	}
 	p.tries = append(p.tries, attempt{node: at, live: true, at: l.now, load: d.load(b.cell)})
 	p.live++
--- a/logic/state.go
+++ b/logic/state.go
@@ -9,15 +9,15 @@
 
 // seat is the desk's view of a node.
 type seat struct {
-	id     broker.NodeID
-	cell   int
-	mode   mode
-	share  float64
-	slow   float64 // how many calls one of its calls counts for
-	ration float64 // parts a cold node may be sent now, by its like
-	bound  float64 // and by the average of all
-	last   time.Duration
-	calls  []call // out, oldest first
+	id       broker.NodeID
+	cell     int
+	mode     mode
+	share    float64
+	slow     float64       // how many calls one of its calls counts for
+	ration   float64       // parts a cold node may be sent now
+	rationed time.Duration // when it last grew
+	last     time.Duration
+	calls    []call // out, oldest first
 }
 
 type call struct {
@@ -189,6 +189,8 @@
 	p50          time.Duration
 	p95          time.Duration
 	base         time.Duration // low point of p50
+	flow         rate          // parts a second that a warm node is sent, on average
+	flows        []rate        // the same in each cell
 	slopes       []slope       // of each cell
 	value, parts float64       // of a search, on average
 	lengths      []majority    // the usual length of a try, by type
@@ -200,13 +202,18 @@
 	refusing     bool
 }
 
-func (r *rate) add(now time.Duration) {
+func (r *rate) add(now time.Duration, n float64) {
+	r.decay(now)
+	r.fast += n / rateFast.Seconds()
+	r.slow += n / rateSlow.Seconds()
+}
+
+// usual is the slow rate, scaled by the time it has run, as it began at nothing.
+func (r *rate) usual(now time.Duration) float64 {
 	r.decay(now)
-	r.fast += 1 / rateFast.Seconds()
-	r.slow += 1 / rateSlow.Seconds()
+	return r.slow / (1 - math.Exp(-float64(max(1, now))/float64(rateSlow)))
 }
 
-// count notes an item taken, for rule 6.
 func (d *desk) count() {
 	if w := d.l.t.ExtraWindow; w > 0 {
 		d.asks = trim(append(d.asks, d.l.now), d.l.now-w)
@@ -292,7 +299,7 @@
 	case standing:
 		b := &d.board[n.node]
 		if n.mode != cold && b.mode == cold || b.mode != cold {
-			b.ration, b.bound = 0, 0
+			b.ration, b.rationed = 0, d.l.now
 		}
 		b.mode, b.share, b.slow, b.cell = n.mode, n.share, n.slow, n.entry.Cell
 	case sweep:
