--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,6 +38,7 @@
 	doubtShut    = 0.45
 	doubtTrust   = 0.25
 	backoffFirst = 200 * time.Millisecond
+	darkPace     = 500 * time.Millisecond // a node of a set that is all distrusted gets a part so often
 	backoffMost  = 3 * time.Second
 	downLeast    = time.Second     // no answer for so long after a failed connection: the process may have started anew
 	flapWithin   = 2 * time.Second // distrusted again so soon after its trust came back, it is tried ever rarer
@@ -545,7 +546,8 @@
 		case b.mode == trial && first && s.typ.Effect == broker.Idempotent:
 			return int32(i)
 		case b.mode == trial, b.mode == shut:
-			if len(b.calls) < 2 && !l.nodes[i].downed && (bestShut < 0 || len(b.calls) < len(d.board[bestShut].calls)) {
+			little := len(b.calls) < 2 || l.now-b.last >= darkPace
+			if little && !l.nodes[i].downed && (bestShut < 0 || len(b.calls) < len(d.board[bestShut].calls)) {
 				bestShut = int32(i)
 			}
 			continue
