--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,13 +40,13 @@
 	backoffFirst = 200 * time.Millisecond
 	darkPace     = 500 * time.Millisecond // a node of a set that is all distrusted gets a part so often
 	backoffMost  = 3 * time.Second
-	downLeast    = time.Second     // no answer for so long after a failed connection: the process may have started anew
-	flapWithin   = 2 * time.Second // distrusted again so soon after its trust came back, it is tried ever rarer
+	downLeast    = time.Second     // no answer for so long: the process may have started anew
+	flapWithin   = 2 * time.Second // distrusted again so soon, it is tried ever rarer
 	coldSafety   = 0.6             // share of the cold rule's limit that is used
 	coldSpread   = 1.6
 
 	loadStep    = 0.1         // weight of one latency in the load model
-	loadFade    = time.Second // without news, a set is taken for a usual one again (else refusal never ends)
+	loadFade    = time.Second // without news a set counts as usual again (else refusal never ends)
 	shedLow     = 0.5         // expected wait over time left: refusing starts here
 	shedHigh    = 0.75        // and is complete here
 	worthBias   = 0.2         // how strongly a search worth less a part than the mean is refused first
@@ -109,9 +109,9 @@
 	case ended:
 		n.ended(k)
 	case tick:
-		// Danger: a node that takes parts and answers none (hung, stalled, cut off one way). It also catches
-		// one whose answers stop for any other reason: its calls together have waited several times p50 since it
-		// was last heard. It may hurt when a whole fleet stops at once; then the least busy still get a little.
+		// Danger: a node that takes parts and answers none (hung, stalled, cut off one way, or silent for any
+		// other reason): since it was last heard its calls together have waited several times what is usual.
+		// It may hurt when a whole fleet stops at once; then the least busy still get a little.
 		wait := min(k.took, now-n.heard)
 		n.unheard += time.Duration(k.calls) * min(now-n.ticked, wait)
 		if wait > silentMost || wait > silentLeast && float64(n.unheard) > silentFactor*float64(k.limp) {
