--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,11 +47,8 @@
 
 	loadStep    = 0.1         // weight of one latency in the load model
 	loadFade    = time.Second // without news a set counts as usual again (else refusal never ends)
-	barLeast    = 0.4         // a part is not asked for when its wait takes so much of the time left:
-	barMost     = 0.8         // the bar of each type moves between these,
-	barSpread   = 0.25        // is spread by chance,
-	barStep     = 0.03        // and follows the searches taken,
-	barLate     = 0.25        // of which so many may end late
+	shedLow     = 0.5         // expected wait over time left: refusing starts here
+	shedHigh    = 0.75        // and is complete here
 	worthBias   = 0.2         // how strongly a search worth less a part than the mean is refused first
 	repeatSlack = 20 * time.Millisecond
 	lateWeight  = 4 // a search whose target has passed is refused as if it had so much less time
@@ -247,10 +244,6 @@
 	d.refs = map[uint64]ref{}
 	d.tokens = capDepth / 2
 	d.value, d.parts = 1, 1
-	d.bars = make([]float64, len(l.t.Types))
-	for i := range d.bars {
-		d.bars[i] = (barLeast + barMost) / 2
-	}
 	d.lengths = make([]majority, len(l.t.Types))
 	d.flows = make([]rate, l.t.Cells)
 	d.slopes = make([]slope, l.t.Cells)
@@ -277,7 +270,7 @@
 	if usual := d.lengths[e.Type].vote(e.Left); (e.Repeat || !l.t.MarksRepeats) && e.Left < usual-repeatSlack {
 		spent = max(0, t.Timeout-e.Left)
 	}
-	*s = search{spent: spent, gen: s.gen, id: e.ID, inUse: true, serial: e.Serial, kind: e.Type, typ: t, tenant: e.Tenant, expect: int(e.Weight),
+	*s = search{spent: spent, gen: s.gen, id: e.ID, inUse: true, serial: e.Serial, typ: t, tenant: e.Tenant, expect: int(e.Weight),
 		arrived: l.now, deadline: l.now + min(t.Target, e.Left) - margin,
 		last: l.now + e.Left - guardSteps*l.t.Step, parts: s.parts[:0]}
 	d.refs[e.ID] = ref{slot, -1, s.gen}
@@ -402,15 +395,6 @@
 		}
 	}
 	enough := s.got >= least-eps
-	if !s.judged && s.spent == 0 && (enough || now >= s.deadline) {
-		// Danger: no one bar fits all; where answers scatter widely, searches taken end late and waste their work.
-		s.judged = true
-		if bar := &d.bars[s.kind]; enough {
-			*bar = min(barMost, *bar+barStep*barLate)
-		} else {
-			*bar = max(barLeast, *bar-barStep*(1-barLate))
-		}
-	}
 	switch {
 	case s.got >= need-eps:
 		d.answer(slot, !s.stage2 || s.whole1)
@@ -468,7 +452,7 @@
 		left = (s.last - l.now) / lateWeight
 	}
 	scale := bias / float64(max(1, left))
-	worst, share, bar := 0.0, 0.0, d.bars[s.kind]+(l.rand()-0.5)*barSpread
+	worst, share, bar := 0.0, 0.0, shedLow+l.rand()*(shedHigh-shedLow)
 	for i := range s.parts {
 		p := &s.parts[i]
 		at := d.pick(s, p, true, false)
@@ -481,7 +465,7 @@
 			share += p.weight
 		}
 	}
-	if on := worst > barMost; on != d.refusing && (on || worst < barLeast) {
+	if on := worst > shedHigh; on != d.refusing && (on || worst < shedLow) {
 		d.refusing = on
 		l.logf("refusing %v: wait %.2f of the time left, %v", on, worst, left)
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -54,8 +54,6 @@
 	stage2   bool
 	whole1   bool
 	serial   float32
-	kind     int  // its type's place in the terms
-	judged   bool // counted as in time or late
 	typ      *broker.SearchType
 	tenant   int
 	expect   int
@@ -191,7 +189,6 @@
 	p50          time.Duration
 	p95          time.Duration
 	base         time.Duration // low point of p50
-	bars         []float64     // by type: the share of the time left above which a wait is too long
 	flow         rate          // parts a second that a warm node is sent, on average
 	flows        []rate        // the same in each cell
 	slopes       []slope       // of each cell
