Bound every send to a cold node; heed no older start from a stale list

A trial or a last-resort part to a node that is both distrusted and cold now counts against its ration too, and a list that names an older start than the one known no longer makes a node cold.

--- a/logic/actors.go
+++ b/logic/actors.go
@@ -31,6 +31,7 @@
 	calls   int
 	share   float64
 	slow    float64
+	downed  bool
 	limp    time.Duration // tick: the latency it is held against
 	ev      *broker.Event
 	entry   broker.Entry
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -89,7 +89,7 @@
 	switch k.kind {
 	case listed:
 		n.cell, n.ready = k.entry.Cell, k.entry.State == broker.Ready
-		if b := k.entry.Boot; b != broker.NoBoot && b != n.boot {
+		if b := k.entry.Boot; b > n.boot { // a stale list may name an older start
 			n.boot = b
 			if now-b < n.l.t.WarmAfter {
 				n.warming, n.since, n.downed = true, b, false
@@ -109,9 +109,10 @@
 	case ended:
 		n.ended(k)
 	case tick:
-		// Danger: a node that takes parts and answers none (hung, stalled, cut off one way, or silent for any
-		// other reason): since it was last heard its calls together have waited several times what is usual.
-		// It may hurt when a whole fleet stops at once; then the least busy still get a little.
+		// Danger: a node that takes parts and answers none (hung, stalled, cut off one way, or silent
+		// for any other reason): since it was last heard its calls together have waited several times
+		// what is usual. It may hurt when a whole fleet stops at once; then the least busy still get a
+		// little.
 		wait := min(k.took, now-n.heard)
 		n.unheard += time.Duration(k.calls) * min(now-n.ticked, wait)
 		if wait > silentMost || wait > silentLeast && float64(n.unheard) > silentFactor*float64(k.limp) {
@@ -132,8 +133,8 @@
 		n.doubt -= doubtStep * n.doubt
 		n.learn(k.took)
 		if n.downed && now-n.broke >= downLeast {
-			// Danger: a process that came back is cold before the list says so. A lone reset, or a full table of
-			// connections, passes sooner and is no new start.
+			// Danger: a process that came back is cold before the list says so. A lone reset, or a
+			// full table of connections, passes sooner and is no new start.
 			n.warming, n.since = true, now
 			n.l.logf("%v cold: alive %v after its connections failed", n.id, now-n.broke)
 		}
@@ -176,10 +177,11 @@
 	n.lat += time.Duration(limpStep * float64(took-n.lat))
 }
 
-// limp weighs a node's latency, or the age of its oldest part, against the fleet's p50.
-// Danger: a node several times slower than its like (slow machine, busy neighbour, crowd sent by other brokers)
-// still looks idle to a broker with few parts out, and holds up every search that meets it. While it limps, each
-// of its calls counts as several. It may hurt where one set of nodes is busier than all others: p50 is the fleet's.
+// limp weighs a node's latency, or the age of its oldest part, against the fleet's p50. Danger: a node
+// several times slower than its like (slow machine, busy neighbour, crowd sent by others) still looks
+// idle to a broker with few parts out, and holds up every search that meets it. While it limps, each
+// of its calls counts as several. It may hurt for a moment after a pause: its late answers make it
+// look slow.
 func (n *node) limp(k *note) {
 	now := n.l.now
 	if n.lat > k.limp {
@@ -210,11 +212,12 @@
 
 // tell lets the desk know the node's mode.
 func (n *node) tell() {
-	k := note{kind: standing, node: n.at, mode: fit, share: 1, slow: n.slow}
+	k := note{kind: standing, node: n.at, mode: fit, share: 1, slow: n.slow, downed: n.downed}
 	t := n.l.t
 	if n.warming {
-		// Danger (rule 4): all brokers at once push a cold node over. Capacity grows no slower than evenly, and
-		// each broker keeps to a share of what it sends a like warm node, so their sum holds without agreement.
+		// Danger (rule 4): all brokers at once push a cold node over. Capacity grows no slower than
+		// evenly, and each broker keeps to a share of what it sends a like warm node, so their sum
+		// holds without agreement.
 		age := n.l.now - n.since
 		if age >= t.WarmAfter {
 			n.warming = false
@@ -265,14 +268,14 @@
 	slot := d.place()
 	t := &l.t.Types[e.Type]
 	s := &d.slab[slot]
-	// A repeat shorter than the usual try was cut by its client's timeout: that tells how long ago it first asked.
-	spent := time.Duration(0)
-	if usual := d.lengths[e.Type].vote(e.Left); (e.Repeat || !l.t.MarksRepeats) && e.Left < usual-repeatSlack {
-		spent = max(0, t.Timeout-e.Left)
-	}
-	*s = search{spent: spent, gen: s.gen, id: e.ID, inUse: true, serial: e.Serial, typ: t, tenant: e.Tenant, expect: int(e.Weight),
-		arrived: l.now, deadline: l.now + min(t.Target, e.Left) - margin,
+	*s = search{gen: s.gen, id: e.ID, inUse: true, serial: e.Serial, typ: t, tenant: e.Tenant,
+		expect: int(e.Weight), arrived: l.now, deadline: l.now + min(t.Target, e.Left) - margin,
 		last: l.now + e.Left - guardSteps*l.t.Step, parts: s.parts[:0]}
+	// A repeat shorter than the usual try was cut by its client's timeout, which tells when it first asked.
+	usual := d.lengths[e.Type].vote(e.Left)
+	if (e.Repeat || !l.t.MarksRepeats) && e.Left < usual-repeatSlack {
+		s.spent = max(0, t.Timeout-e.Left)
+	}
 	d.refs[e.ID] = ref{slot, -1, s.gen}
 	d.total.add(l.now, 1)
 	if s.tenant < len(d.rates) {
@@ -400,7 +403,8 @@
 		d.answer(slot, !s.stage2 || s.whole1)
 	case enough && (now >= s.deadline || open == 0):
 		d.answer(slot, false)
-	// Danger: late searches that wait for silent nodes fill all places, and new ones are turned away unseen.
+	// Danger: late searches that wait for silent nodes fill all places, and new ones are turned away
+	// unseen.
 	case now >= s.last, now >= s.deadline && d.short, !enough && s.got+open < least-eps:
 		d.giveUp(slot)
 	}
@@ -433,10 +437,10 @@
 	d.settle(slot)
 }
 
-// refuse tells whether a new search should be turned away for lack of time.
-// Danger: under overload all searches end late and every retry adds to it. The wait expected of each set of
-// nodes is held against the time left; least value for its parts goes first, so does what is beyond its tenant's
-// share. A search that may be answered in part leaves out what no node holds or only crowded ones, down to its
+// refuse tells whether a new search should be turned away for lack of time. Danger: under overload all
+// searches end late and every retry adds to it. The wait expected of each set of nodes is held against
+// the time left; least value for its parts goes first, so does what is beyond its tenant's share. A
+// search that may be answered in part leaves out what no node holds or only crowded ones, down to its
 // floor; one that can't reach it is given up before any work is spent on it.
 func (d *desk) refuse(s *search) bool {
 	l := d.l
@@ -472,8 +476,8 @@
 	return share < s.typ.Floor-eps
 }
 
-// wait is the latency expected of a part sent to a node: by its set's record, and no less than what the second
-// oldest of its calls has waited (the oldest may be stuck alone).
+// wait is the latency expected of a part sent to a node: by its set's record, and no less than what
+// the second oldest of its calls has waited (the oldest may be stuck alone).
 func (d *desk) wait(at int32) float64 {
 	b := &d.board[at]
 	k := &d.slopes[b.cell%d.l.t.Cells]
@@ -490,8 +494,9 @@
 	return usual + (of-usual)*math.Exp(-float64(d.l.now-at)/float64(loadFade))
 }
 
-// typical is the latency that a node of the set is held against: the fleet's p50, or the set's own latency where
-// that is longer (danger: in a crowded set all nodes look sick, and shutting some crowds the others).
+// typical is the latency that a node of the set is held against: the fleet's p50, or the set's own
+// latency where that is longer (danger: in a crowded set all nodes look sick, and shutting some crowds
+// the others).
 func (d *desk) typical(cell int) time.Duration {
 	k := &d.slopes[cell]
 	return max(d.p50, time.Duration(d.fresh(k.took, k.at)))
@@ -529,8 +534,9 @@
 	return -1
 }
 
-// pick chooses a holder of the part: fewest calls out, ties at random. First sends also go, one at a time, to a
-// distrusted node whose trial is due. Where every holder is distrusted, the least busy still gets a little.
+// pick chooses a holder of the part: fewest calls out, ties at random. First sends also go, one at a
+// time, to a distrusted node whose trial is due. Where every holder is distrusted, the least busy
+// still gets a little.
 func (d *desk) pick(s *search, p *part, first, again bool) int32 {
 	l, best, least, ties := d.l, int32(-1), 0.0, 0
 	bestShut := int32(-1)
@@ -539,6 +545,9 @@
 		if b.mode == gone || (b.cell-p.shard%l.t.Cells+l.t.Cells)%l.t.Cells >= l.t.Width {
 			continue
 		}
+		if b.share < 1 && !d.mayWarm(b) {
+			continue
+		}
 		if !again && slices.ContainsFunc(p.tries, func(a attempt) bool { return a.node == int32(i) }) {
 			continue
 		}
@@ -547,12 +556,10 @@
 			return int32(i)
 		case b.mode == trial, b.mode == shut:
 			little := len(b.calls) < 2 || l.now-b.last >= darkPace
-			if little && !l.nodes[i].downed && (bestShut < 0 || len(b.calls) < len(d.board[bestShut].calls)) {
+			if little && !b.downed && (bestShut < 0 || len(b.calls) < len(d.board[bestShut].calls)) {
 				bestShut = int32(i)
 			}
 			continue
-		case b.mode == cold && !d.mayWarm(b):
-			continue
 		}
 		cost := b.slow * float64(len(b.calls)+1)
 		switch {
@@ -570,10 +577,11 @@
 	return best
 }
 
-// mayWarm tells whether a cold node may be sent a part. Its ration grows by its share of what a like warm node is
-// sent: now, in its own set, or usually, on average (a jam that lacks the cold nodes must not starve them), and no
-// more than coldSpread of the usual, as a set short of nodes may be sent more than it can do. Before anything is
-// known: when none is out, at a pace that all brokers can keep within one core's share.
+// mayWarm tells whether a cold node may be sent a part. Its ration grows by its share of what a like
+// warm node is sent: now, in its own set, or usually, on average (a jam that lacks the cold nodes must
+// not starve them), and no more than coldSpread of the usual, as a set short of nodes may be sent more
+// than it can do. Before anything is known: when none is out, at a pace that all brokers can keep
+// within one core's share.
 func (d *desk) mayWarm(b *seat) bool {
 	now := d.l.now
 	usual := d.flow.usual(now)
@@ -587,11 +595,12 @@
 
 func (d *desk) send(p *part, at int32) {
 	l, b := d.l, &d.board[at]
+	if b.share < 1 {
+		b.ration = max(-1, b.ration-1)
+	}
 	switch b.mode {
 	case trial:
 		b.mode = shut
-	case cold:
-		b.ration = max(-1, b.ration-1)
 	case fit:
 		d.flow.add(l.now, 1/float64(d.warm(-1)))
 		d.flows[b.cell%l.t.Cells].add(l.now, 1/float64(d.warm(b.cell)))
@@ -635,8 +644,9 @@
 				d.next = min(d.next, due)
 				continue
 			}
-			// Danger: copies made while everything is slow join the crowd they flee from and keep a jam alive.
-			// Then only parts held by a distrusted node are copied. It may hurt where half the nodes turn slow.
+			// Danger: copies made while everything is slow join the crowd they flee from and keep a
+			// jam alive. Then only parts held by a distrusted node are copied. It may hurt where half
+			// the nodes turn slow.
 			if b := &d.board[a.node]; b.mode >= cold && float64(d.p50) > crowdMost*float64(d.base) {
 				d.next = min(d.next, l.now+poll)
 				continue
--- a/logic/state.go
+++ b/logic/state.go
@@ -13,6 +13,7 @@
 	cell     int
 	mode     mode
 	share    float64
+	downed   bool          // its connections broke
 	slow     float64       // how many calls one of its calls counts for
 	ration   float64       // parts a cold node may be sent now
 	rationed time.Duration // when it last grew
@@ -298,10 +299,10 @@
 	switch n.kind {
 	case standing:
 		b := &d.board[n.node]
-		if n.mode != cold && b.mode == cold || b.mode != cold {
+		if b.share == 1 && n.share < 1 {
 			b.ration, b.rationed = 0, d.l.now
 		}
-		b.mode, b.share, b.slow, b.cell = n.mode, n.share, n.slow, n.entry.Cell
+		b.mode, b.share, b.slow, b.downed, b.cell = n.mode, n.share, n.slow, n.downed, n.entry.Cell
 	case sweep:
 		d.sweep()
 	case event:
@@ -334,7 +335,7 @@
 			l.byID[e.Node] = at
 			l.nodes = append(l.nodes, &node{l: l, at: at, id: e.Node, boot: broker.NoBoot, trusted: true, slow: 1})
 			l.nodes[at].box.to = l.nodes[at]
-			l.desk.board = append(l.desk.board, seat{id: e.Node, slow: 1})
+			l.desk.board = append(l.desk.board, seat{id: e.Node, slow: 1, share: 1})
 		}
 		l.post(&l.nodes[at].box, note{kind: listed, entry: e})
 	}
