--- a/logic/logic.go
+++ b/logic/logic.go
@@ -644,10 +644,11 @@
 				d.next = min(d.next, due)
 				continue
 			}
-			// Danger: copies made while everything is slow join the crowd they flee from and keep a
-			// jam alive. Then only parts held by a distrusted node are copied. It may hurt where half
-			// the nodes turn slow.
-			if b := &d.board[a.node]; b.mode >= cold && float64(d.p50) > crowdMost*float64(d.base) {
+			// Danger: copies made while a whole set, or everything, is slow join the crowd they flee from
+			// and keep a jam alive. Then only parts held by a distrusted node are copied. It may hurt where
+			// half the nodes of a set turn slow.
+			b := &d.board[a.node]
+			if b.mode >= cold && float64(d.typical(b.cell%t.Cells)) > crowdMost*float64(d.base) {
 				d.next = min(d.next, l.now+poll)
 				continue
 			}
