--- a/logic/logic.go
+++ b/logic/logic.go
@@ -660,7 +660,7 @@
 				continue
 			}
 		}
-		if at >= 0 && d.tokens >= 1 && d.inBudget() {
+		if at >= 0 && d.tokens >= 1 && l.now+time.Duration(d.wait(at)) <= limit && d.inBudget() {
 			d.tokens--
 			if t.ExtraWindow > 0 {
 				d.extras = append(d.extras, l.now)
