--- a/logic/logic.go
+++ b/logic/logic.go
@@ -255,7 +255,7 @@
 	for i := range l.t.Types {
 		least = min(least, l.t.Types[i].Target)
 	}
-	d.p50, d.p95, d.base = least/8, least/2, least/8
+	d.p50, d.p95, d.base = least/8, least/2, least/12
 }
 
 func (d *desk) take(e *broker.Event) {
