--- a/logic/logic.go
+++ b/logic/logic.go
@@ -648,7 +648,8 @@
 			// and keep a jam alive. Then only parts held by a distrusted node are copied. It may hurt where
 			// half the nodes of a set turn slow.
 			b := &d.board[a.node]
-			if b.mode >= cold && float64(d.typical(b.cell%t.Cells)) > crowdMost*float64(d.base) {
+			crowded := float64(d.typical(b.cell%t.Cells)) > crowdMost*float64(d.base)
+			if b.mode >= cold && crowded && d.taken >= fewSamples {
 				d.next = min(d.next, l.now+poll)
 				continue
 			}
