--- a/logic/logic.go
+++ b/logic/logic.go
@@ -226,7 +226,6 @@
 			k.mode = cold
 			have := t.ColdFrom + (1-t.ColdFrom)*float64(max(0, age))/float64(t.WarmAfter)
 			k.share = min(1, coldSafety*t.FallMultiple*have)
-			k.slow = max(k.slow, 1/have) // a call takes it so much longer
 		}
 	}
 	switch {
