--- a/logic/logic.go
+++ b/logic/logic.go
@@ -20,17 +20,17 @@
 	copyQuantile = 0.95
 	capShare     = 0.1 // copies and resends together, as a share of parts
 	capDepth     = 30.0
-	samples      = 96 // latencies kept for the quantiles
-	baseCreep    = 1.005
-	crowdMost    = 1.5 // p50 over its low point: above this, slowness is general and copies stop
+	samples      = 96    // latencies kept for the quantiles
+	baseCreep    = 1.005 // the low point of p50 rises so fast with each new record
+	crowdMost    = 1.5   // usual latency over the low point of p50: above this, copies stop
 	fewSamples   = 24
 	poll         = 10 * time.Millisecond // a part held back is looked at again after this
 
 	placesShort  = 0.7 // above this share of the places, searches past their deadline are given up
-	silentFactor = 5.0 // silent: its calls have waited so many p50 together, and none was answered
+	silentFactor = 5.0 // silent: its calls have waited so many usual latencies, and none was answered
 	silentLeast  = 400 * time.Millisecond
 	silentMost   = 1500 * time.Millisecond
-	limpOn       = 2.5 // limping: its latency over the fleet's p50
+	limpOn       = 2.5 // limping: its latency over the usual one
 	limpMost     = 10.0
 	limpStep     = 0.25 // weight of one latency
 	limpFade     = 5 * time.Second
@@ -43,7 +43,7 @@
 	downLeast    = time.Second     // no answer for so long: the process may have started anew
 	flapWithin   = 2 * time.Second // distrusted again so soon, it is tried ever rarer
 	coldSafety   = 0.6             // share of the cold rule's limit that is used
-	coldSpread   = 1.6
+	coldSpread   = 1.6             // and of the usual flow that its set may lend it
 
 	loadStep    = 0.1         // weight of one latency in the load model
 	loadFade    = time.Second // without news a set counts as usual again (else refusal never ends)
@@ -53,7 +53,7 @@
 	repeatSlack = 20 * time.Millisecond
 	lateWeight  = 4 // a search whose target has passed is refused as if it had so much less time
 	meanStep    = 0.02
-	overRate    = 1.3
+	overRate    = 1.3 // beyond its share: a tenant's rate over its portion of the usual
 	rateFast    = 3 * time.Second
 	rateSlow    = 20 * time.Second
 	askFirst    = 500 * time.Millisecond
@@ -177,7 +177,7 @@
 	n.lat += time.Duration(limpStep * float64(took-n.lat))
 }
 
-// limp weighs a node's latency, or the age of its oldest part, against the fleet's p50. Danger: a node
+// limp weighs a node's latency, or the age of its oldest part, against the usual one. Danger: a node
 // several times slower than its like (slow machine, busy neighbour, crowd sent by others) still looks
 // idle to a broker with few parts out, and holds up every search that meets it. While it limps, each
 // of its calls counts as several. It may hurt for a moment after a pause: its late answers make it
