Take out unread settings and tidy after a second reading

Gone: the terms CallWork, AskWithin and Partial and the search's arrival time, which nothing read (domain.shortWorth is an unread key now and skipped like the others), a nested check of silence, and one index written three times. The step at which quantiles are drawn anew stood as a bare 16 in the state file; it is a named value of the module now.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -127,7 +127,6 @@
 	Window    time.Duration // tokened: how long repeats are dropped
 	Floor     float64       // least share of the parts' weight for an answer
 	Need      float64       // share that makes a whole answer
-	Partial   float64       // what an answer below Need earns of its share
 	Fetch     int           // parts of a second step; 0: one step
 }
 
@@ -149,7 +148,6 @@
 	Cells        int
 	Width        int
 	BatchParts   int
-	CallWork     time.Duration
 
 	Cancels       bool
 	SecondCopies  bool
@@ -158,7 +156,6 @@
 	MaxAttempts   int
 	MaxOpen       int
 	AskList       bool
-	AskWithin     time.Duration
 
 	ColdFrom     float64
 	WarmAfter    time.Duration
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,6 +21,7 @@
 	capShare     = 0.1 // copies and resends together, as a share of parts
 	capDepth     = 30.0
 	samples      = 96    // latencies kept for the quantiles
+	redraw       = 16    // they are drawn anew after so many more
 	baseCreep    = 1.005 // the low point of p50 rises so fast with each new record
 	crowdMost    = 1.5   // usual latency over the low point of p50: above this, copies stop
 	fewSamples   = 24
@@ -115,10 +116,9 @@
 		// little.
 		wait := min(k.took, now-n.heard)
 		n.unheard += time.Duration(k.calls) * min(now-n.ticked, wait)
-		if wait > silentMost || wait > silentLeast && float64(n.unheard) > silentFactor*float64(k.limp) {
-			if n.trusted {
-				n.distrust("silent", wait.Seconds())
-			}
+		exposed := wait > silentLeast && float64(n.unheard) > silentFactor*float64(k.limp)
+		if n.trusted && (wait > silentMost || exposed) {
+			n.distrust("silent", wait.Seconds())
 		}
 		n.limp(k)
 	}
@@ -269,7 +269,7 @@
 	t := &l.t.Types[e.Type]
 	s := &d.slab[slot]
 	*s = search{gen: s.gen, id: e.ID, inUse: true, serial: e.Serial, typ: t, tenant: e.Tenant,
-		expect: int(e.Weight), arrived: l.now, deadline: l.now + min(t.Target, e.Left) - margin,
+		expect: int(e.Weight), deadline: l.now + min(t.Target, e.Left) - margin,
 		last: l.now + e.Left - guardSteps*l.t.Step, parts: s.parts[:0]}
 	// A repeat shorter than the usual try was cut by its client's timeout, which tells when it first asked.
 	usual := d.lengths[e.Type].vote(e.Left)
@@ -584,9 +584,9 @@
 // within one core's share.
 func (d *desk) mayWarm(b *seat) bool {
 	now := d.l.now
-	usual := d.flow.usual(now)
-	d.flows[b.cell%d.l.t.Cells].decay(now)
-	flow := min(max(d.flows[b.cell%d.l.t.Cells].fast, usual), coldSpread*usual)
+	usual, own := d.flow.usual(now), &d.flows[b.cell%d.l.t.Cells]
+	own.decay(now)
+	flow := min(max(own.fast, usual), coldSpread*usual)
 	b.ration = min(2, b.ration+b.share*flow*(now-b.rationed).Seconds())
 	b.rationed = now
 	pace := float64(d.l.t.Brokers) * float64(d.base) / b.share
--- a/logic/state.go
+++ b/logic/state.go
@@ -58,7 +58,6 @@
 	typ      *broker.SearchType
 	tenant   int
 	expect   int
-	arrived  time.Duration
 	spent    time.Duration // of the client's time before this try, where that shows
 	deadline time.Duration
 	last     time.Duration
@@ -371,10 +370,10 @@
 	d.drop(slot)
 }
 
-// keep stores a latency in the ring; every 16th time it returns all kept, sorted.
+// keep stores a latency in the ring; when a redraw is due it returns all kept, sorted.
 func (d *desk) keep(took time.Duration) []time.Duration {
 	d.takes[d.taken%samples] = took
-	if d.taken++; d.taken%16 != 0 {
+	if d.taken++; d.taken%redraw != 0 {
 		return nil
 	}
 	s := d.sorted[:min(d.taken, samples)]
--- a/simwire/setup.go
+++ b/simwire/setup.go
@@ -128,7 +128,6 @@
 		Cells:        p.count("domain.cells", true, 0),
 		Width:        p.count("domain.width", true, 0),
 		BatchParts:   max(1, p.count("domain.partsACall", false, 1)),
-		CallWork:     p.span("domain.perCallWorkNs", false),
 
 		Cancels:       p.flag("permissions.cancel"),
 		SecondCopies:  p.flag("permissions.secondCopies"),
@@ -136,7 +135,6 @@
 		MaxRetryAfter: p.span("permissions.maxRetryAfterNs", false),
 		MaxAttempts:   p.count("permissions.maxAttempts", true, 0),
 		MaxOpen:       p.count("permissions.maxOpen", false, math.MaxInt32),
-		AskWithin:     p.span("safety.askWithinNs", false),
 
 		ColdFrom:     p.num("safety.coldFrom", false, 1),
 		WarmAfter:    p.span("safety.warmAfterNs", false),
@@ -158,7 +156,7 @@
 	}
 	n := p.size("classes.count", true)
 	floors, needs := p.list("domain.classFloor", n, 1), p.list("domain.wholeAt", n, 1)
-	shorts, fetches := p.list("domain.shortWorth", n, 1), p.list("domain.fetchParts", n, 0)
+	fetches := p.list("domain.fetchParts", n, 0)
 	for i := range n {
 		at := fmt.Sprintf("classes.%d.", i)
 		c := broker.SearchType{
@@ -169,7 +167,6 @@
 			Window:    p.span(at+"windowNs", false),
 			Floor:     floors[i],
 			Need:      needs[i],
-			Partial:   shorts[i],
 			Fetch:     int(fetches[i]),
 		}
 		switch effect := p.text(at+"effect", true); effect {
