A due trial is one candidate among its like, no longer the next part's target

Cause: every broker sent the next part of a set to a distrusted node whose trial was due. Covers any wrong or short verdict about a node, from any cause.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -551,10 +551,8 @@
 		if !again && slices.ContainsFunc(p.tries, func(a attempt) bool { return a.node == int32(i) }) {
 			continue
 		}
-		switch {
-		case b.mode == trial && first && s.typ.Effect == broker.Idempotent:
-			return int32(i)
-		case b.mode == trial, b.mode == shut:
+		due := b.mode == trial && first && s.typ.Effect == broker.Idempotent
+		if b.mode <= trial && !due {
 			little := len(b.calls) < 2 || l.now-b.last >= darkPace
 			if little && !b.downed && (bestShut < 0 || len(b.calls) < len(d.board[bestShut].calls)) {
 				bestShut = int32(i)
