A set's latency is learned by elapsed time and remembered 4 s

Cause: a broker that meets a set every few seconds gave each answer a tenth of the weight and forgot the set within a second, so no crowded set was ever seen: copies and full searches went on into it. May hurt: refusal outlives a short jam by a few seconds.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,7 +47,7 @@
 	coldSpread   = 1.6             // and of the usual flow that its set may lend it
 
 	loadStep    = 0.1         // weight of one latency in the load model
-	loadFade    = time.Second // without news a set counts as usual again (else refusal never ends)
+	loadFade    = 4 * time.Second // without news a set counts as usual again (else refusal never ends)
 	shedLow     = 0.5         // expected wait over time left: refusing starts here
 	shedHigh    = 0.75        // and is complete here
 	worthBias   = 0.2         // how strongly a search worth less a part than the mean is refused first
@@ -312,8 +312,9 @@
 		d.record(e.Took)
 		if known {
 			k := &d.slopes[d.board[at].cell%l.t.Cells]
-			k.of += loadStep * (float64(e.Took)/(a.load+1) - k.of)
-			k.took += loadStep * (float64(e.Took) - k.took)
+			step := max(loadStep, 1-math.Exp(-float64(l.now-k.at)/float64(loadFade)))
+			k.of += step * (float64(e.Took)/(a.load+1) - k.of)
+			k.took += step * (float64(e.Took) - k.took)
 			k.at = l.now
 		}
 		d.cancel(p)
