--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,11 +46,11 @@
 	coldSafety   = 0.6             // share of the cold rule's limit that is used
 	coldSpread   = 1.6             // and of the usual flow that its set may lend it
 
-	loadStep    = 0.1         // weight of one latency in the load model
+	loadStep    = 0.1             // weight of one latency in the load model
 	loadFade    = 4 * time.Second // without news a set counts as usual again (else refusal never ends)
-	shedLow     = 0.5         // expected wait over time left: refusing starts here
-	shedHigh    = 0.75        // and is complete here
-	worthBias   = 0.2         // how strongly a search worth less a part than the mean is refused first
+	shedLow     = 0.5             // expected wait over time left: refusing starts here
+	shedHigh    = 0.75            // and is complete here
+	worthBias   = 0.2             // how strongly a search worth less a part than the mean is refused first
 	repeatSlack = 20 * time.Millisecond
 	lateWeight  = 4 // a search whose target has passed is refused as if it had so much less time
 	meanStep    = 0.02
