No copies once a search is past its deadline

Cause: late searches (a tenth to three tenths of their value) copied parts into the crowd that made them late. A late part at a silent node is no longer rescued.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -619,9 +619,10 @@
 // further sends the copies and resends that are due, within the shared cap.
 func (d *desk) further(s *search) {
 	l, t := d.l, d.l.t
-	limit := s.last
-	if l.now < s.deadline || s.typ.LateShare == 0 {
-		limit = s.deadline
+	late := l.now >= s.deadline
+	limit := s.deadline
+	if late && s.typ.LateShare > 0 {
+		limit = s.last
 	}
 	for i := range s.parts {
 		p := &s.parts[i]
@@ -635,7 +636,7 @@
 				continue
 			}
 		} else {
-			if p.copied || !inTime || !t.SecondCopies || s.typ.Effect != broker.Idempotent || p.live > 1 {
+			if p.copied || late || !inTime || !t.SecondCopies || s.typ.Effect != broker.Idempotent || p.live > 1 {
 				continue
 			}
 			a := p.tries[len(p.tries)-1]
