--- a/logic/logic.go
+++ b/logic/logic.go
@@ -619,24 +619,19 @@
 // further sends the copies and resends that are due, within the shared cap.
 func (d *desk) further(s *search) {
 	l, t := d.l, d.l.t
-	late := l.now >= s.deadline
-	limit := s.deadline
-	if late && s.typ.LateShare > 0 {
-		limit = s.last
-	}
 	for i := range s.parts {
 		p := &s.parts[i]
 		if p.done || p.dead {
 			continue
 		}
-		inTime := l.now+d.p50 <= limit && len(p.tries) < t.MaxAttempts
+		inTime := l.now+d.p50 <= s.deadline && len(p.tries) < t.MaxAttempts
 		if p.live == 0 {
 			if p.resent || !inTime || !d.mayRepeat(s, p) {
 				p.dead = true
 				continue
 			}
 		} else {
-			if p.copied || late || !inTime || !t.SecondCopies || s.typ.Effect != broker.Idempotent || p.live > 1 {
+			if p.copied || !inTime || !t.SecondCopies || s.typ.Effect != broker.Idempotent || p.live > 1 {
 				continue
 			}
 			a := p.tries[len(p.tries)-1]
@@ -661,7 +656,7 @@
 				continue
 			}
 		}
-		if at >= 0 && d.tokens >= 1 && l.now+time.Duration(d.wait(at)) <= limit && d.inBudget() {
+		if at >= 0 && d.tokens >= 1 && l.now+time.Duration(d.wait(at)) <= s.deadline && d.inBudget() {
 			d.tokens--
 			if t.ExtraWindow > 0 {
 				d.extras = append(d.extras, l.now)
