A node is held against its quickest sibling; memory of latency spans two visits; sets indexed

Cause: a broker that meets a node every 8 s forgot its latency in 5 s and held a slow node against its own set's mean, which that node had raised. Now: the quickest like node, memory of two usual visits, and where all are idle a limping node is thinned by its slowness. Holders are found by cell, and nodes that time can't change are not ticked: work a part no longer grows with the fleet.

--- a/logic/actors.go
+++ b/logic/actors.go
@@ -33,6 +33,7 @@
 	slow    float64
 	downed  bool
 	limp    time.Duration // tick: the latency it is held against
+	gap     time.Duration // tick: usual time between two parts that a node is sent
 	ev      *broker.Event
 	entry   broker.Entry
 }
@@ -130,9 +131,13 @@
 	}
 	l.run()
 	l.post(&l.keeper.box, note{kind: tick})
+	gap := time.Duration(float64(time.Second) / max(1e-3, l.desk.flow.usual(now)))
 	for i, n := range l.nodes {
 		b := &l.desk.board[i]
-		k := note{kind: tick, calls: len(b.calls), limp: l.desk.typical(n.cell % l.t.Cells)}
+		if len(b.calls) == 0 && (b.mode == gone || b.mode == fit && b.slow == 1) {
+			continue // nothing that time alone can change
+		}
+		k := note{kind: tick, calls: len(b.calls), limp: l.usual(n), gap: gap}
 		if len(b.calls) > 0 {
 			k.took = max(1, now-b.calls[0].at)
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,6 +35,7 @@
 	limpMost     = 10.0
 	limpStep     = 0.25 // weight of one latency
 	limpFade     = 5 * time.Second
+	limpVisits   = 2   // or so many usual gaps between the parts a node is sent
 	doubtStep    = 0.3 // weight of one outcome in a node's error share
 	doubtShut    = 0.45
 	doubtTrust   = 0.25
@@ -120,6 +121,7 @@
 		if n.trusted && (wait > silentMost || exposed) {
 			n.distrust("silent", wait.Seconds())
 		}
+		n.gap = k.gap
 		n.limp(k)
 	}
 	n.tell()
@@ -170,11 +172,18 @@
 	}
 }
 
+// learn weighs a latency by the time since the last, as a broker may meet a node once in many seconds.
 func (n *node) learn(took time.Duration) {
 	if n.lat == 0 {
 		n.lat = took
 	}
-	n.lat += time.Duration(limpStep * float64(took-n.lat))
+	n.lat += time.Duration(max(limpStep, n.faded()) * float64(took-n.lat))
+	n.ticked = n.l.now
+}
+
+// faded is how much of what is known of the node's latency has gone stale since it was last looked at.
+func (n *node) faded() float64 {
+	return 1 - math.Exp(-float64(n.l.now-n.ticked)/float64(max(limpFade, limpVisits*n.gap)))
 }
 
 // limp weighs a node's latency, or the age of its oldest part, against the usual one. Danger: a node
@@ -185,8 +194,7 @@
 func (n *node) limp(k *note) {
 	now := n.l.now
 	if n.lat > k.limp {
-		fade := min(1, float64(now-n.ticked)/float64(limpFade))
-		n.lat -= time.Duration(fade * float64(n.lat-k.limp))
+		n.lat -= time.Duration(n.faded() * float64(n.lat-k.limp))
 	}
 	n.ticked = now
 	ratio := min(limpMost, float64(max(n.lat, k.took))/float64(k.limp))
@@ -249,6 +257,8 @@
 	d.value, d.parts = 1, 1
 	d.lengths = make([]majority, len(l.t.Types))
 	d.flows = make([]rate, l.t.Cells)
+	d.cells = make([][]int32, l.t.Cells)
+	d.warms = make([]int, l.t.Cells)
 	d.slopes = make([]slope, l.t.Cells)
 	d.rates = make([]rate, len(l.t.Tenants))
 	least := never
@@ -495,12 +505,20 @@
 	return usual + (of-usual)*math.Exp(-float64(d.l.now-at)/float64(loadFade))
 }
 
-// typical is the latency that a node of the set is held against: the fleet's p50, or the set's own
-// latency where that is longer (danger: in a crowded set all nodes look sick, and shutting some crowds
-// the others).
-func (d *desk) typical(cell int) time.Duration {
-	k := &d.slopes[cell]
-	return max(d.p50, time.Duration(d.fresh(k.took, k.at)))
+// usual is the latency that a node is held against: the fleet's p50, or that of the quickest of its like
+// where even that is longer (danger: in a crowded set all nodes look sick, and shutting some crowds the
+// others).
+func (l *Logic) usual(n *node) time.Duration {
+	least := never
+	for _, at := range l.desk.cells[n.cell%l.t.Cells] {
+		if o := l.nodes[at]; o != n && o.told.mode == fit {
+			least = min(least, o.lat)
+		}
+	}
+	if least == never {
+		least = 0
+	}
+	return max(l.desk.p50, least)
 }
 
 // over tells whether a tenant sends beyond its share of what this broker carries.
@@ -541,32 +559,36 @@
 func (d *desk) pick(s *search, p *part, first, again bool) int32 {
 	l, best, least, ties := d.l, int32(-1), 0.0, 0
 	bestShut := int32(-1)
-	for i := range d.board {
+	d.holders = d.holders[:0]
+	for j := range l.t.Width {
+		d.holders = append(d.holders, d.cells[(p.shard+j)%l.t.Cells]...)
+	}
+	for _, i := range d.holders {
 		b := &d.board[i]
-		if b.mode == gone || (b.cell-p.shard%l.t.Cells+l.t.Cells)%l.t.Cells >= l.t.Width {
+		if b.mode == gone || b.share < 1 && !d.mayWarm(b) {
 			continue
 		}
-		if b.share < 1 && !d.mayWarm(b) {
-			continue
-		}
-		if !again && slices.ContainsFunc(p.tries, func(a attempt) bool { return a.node == int32(i) }) {
+		if !again && slices.ContainsFunc(p.tries, func(a attempt) bool { return a.node == i }) {
 			continue
 		}
 		due := b.mode == trial && first && s.typ.Effect == broker.Idempotent
 		if b.mode <= trial && !due {
 			little := len(b.calls) < 2 || l.now-b.last >= darkPace
 			if little && !b.downed && (bestShut < 0 || len(b.calls) < len(d.board[bestShut].calls)) {
-				bestShut = int32(i)
+				bestShut = i
 			}
 			continue
 		}
 		cost := b.slow * float64(len(b.calls)+1)
+		if len(b.calls) == 0 && b.slow > 1 && l.rand()*b.slow < 1 {
+			cost = 1 // where all are idle, a limping node gets its share of parts, no more and no less
+		}
 		switch {
 		case best < 0 || cost < least:
-			best, least, ties = int32(i), cost, 1
+			best, least, ties = i, cost, 1
 		case cost == least:
 			if ties++; l.rand()*float64(ties) < 1 {
-				best = int32(i)
+				best = i
 			}
 		}
 	}
@@ -601,8 +623,8 @@
 	case trial:
 		b.mode = shut
 	case fit:
-		d.flow.add(l.now, 1/float64(d.warm(-1)))
-		d.flows[b.cell%l.t.Cells].add(l.now, 1/float64(d.warm(b.cell)))
+		d.flow.add(l.now, 1/float64(d.warm))
+		d.flows[b.cell%l.t.Cells].add(l.now, 1/float64(d.warms[b.cell%l.t.Cells]))
 	}
 	p.tries = append(p.tries, attempt{node: at, live: true, at: l.now, load: d.load(b.cell)})
 	p.live++
@@ -643,7 +665,8 @@
 			// and keep a jam alive. Then only parts held by a distrusted node are copied. It may hurt where
 			// half the nodes of a set turn slow.
 			b := &d.board[a.node]
-			crowded := float64(d.typical(b.cell%t.Cells)) > crowdMost*float64(d.base)
+			k := &d.slopes[b.cell%t.Cells]
+			crowded := max(float64(d.p50), d.fresh(k.took, k.at)) > crowdMost*float64(d.base)
 			if b.mode >= cold && crowded && d.taken >= fewSamples {
 				d.next = min(d.next, l.now+poll)
 				continue
--- a/logic/state.go
+++ b/logic/state.go
@@ -163,6 +163,7 @@
 	lat      time.Duration
 	slow     float64
 	ticked   time.Duration
+	gap      time.Duration // usual time between two parts that a node is sent
 	doubt    float64
 	backoff  time.Duration
 	until    time.Duration
@@ -178,6 +179,10 @@
 	l            *Logic
 	box          inbox
 	board        []seat
+	cells        [][]int32 // nodes of each cell
+	holders      []int32
+	warm         int   // nodes neither cold nor distrusted
+	warms        []int // the same in each cell
 	slab         []search
 	free         []int32
 	refs         map[uint64]ref
@@ -261,8 +266,8 @@
 // load is how many calls this broker has out at a usable node of the cell, on average.
 func (d *desk) load(cell int) float64 {
 	calls, usable := 0, 0
-	for i := range d.board {
-		if b := &d.board[i]; b.cell == cell && b.mode >= cold {
+	for _, i := range d.cells[cell%d.l.t.Cells] {
+		if b := &d.board[i]; b.mode >= cold {
 			usable++
 			calls += len(b.calls)
 		}
@@ -270,17 +275,6 @@
 	return float64(calls) / float64(max(1, usable))
 }
 
-// warm counts the nodes that are neither cold nor distrusted.
-func (d *desk) warm(cell int) int {
-	n := 0
-	for i := range d.board {
-		if b := &d.board[i]; b.mode == fit && (cell < 0 || b.cell == cell) {
-			n++
-		}
-	}
-	return n
-}
-
 // find looks up what is still in hand under an id.
 func (d *desk) find(id uint64) (ref, bool) {
 	r, ok := d.refs[id]
@@ -294,6 +288,14 @@
 	at   time.Duration
 }
 
+// tally counts a node in or out of those that are neither cold nor distrusted.
+func (d *desk) tally(b *seat, by int) {
+	if b.mode == fit {
+		d.warm += by
+		d.warms[b.cell%d.l.t.Cells] += by
+	}
+}
+
 func (d *desk) read(n *note) {
 	switch n.kind {
 	case standing:
@@ -301,7 +303,14 @@
 		if b.share == 1 && n.share < 1 {
 			b.ration, b.rationed = 0, d.l.now
 		}
+		d.tally(b, -1)
+		if c := n.entry.Cell; c != b.cell || !slices.Contains(d.cells[c%d.l.t.Cells], n.node) {
+			old := &d.cells[b.cell%d.l.t.Cells]
+			*old = slices.DeleteFunc(*old, func(i int32) bool { return i == n.node })
+			d.cells[c%d.l.t.Cells] = append(d.cells[c%d.l.t.Cells], n.node)
+		}
 		b.mode, b.share, b.slow, b.downed, b.cell = n.mode, n.share, n.slow, n.downed, n.entry.Cell
+		d.tally(b, 1)
 	case sweep:
 		d.sweep()
 	case event:
