--- a/logic/logic.go
+++ b/logic/logic.go
@@ -510,20 +510,16 @@
 	return usual + (of-usual)*math.Exp(-float64(d.l.now-at)/float64(loadFade))
 }
 
-// usual is the latency that a node is held against: the fleet's p50, or that of the quickest of its like
-// where even that is longer (danger: in a crowded set all nodes look sick, and shutting some crowds the
+// usual is the latency that a node is held against: the fleet's p50, or that of its like where that is longer (danger: in a crowded set all nodes look sick, and shutting some crowds the
 // others).
 func (l *Logic) usual(n *node) time.Duration {
-	least := never
+	sum, like := time.Duration(0), time.Duration(0)
 	for _, at := range l.desk.cells[n.cell%l.t.Cells] {
 		if o := l.nodes[at]; o != n && o.told.mode == fit {
-			least = min(least, o.lat)
+			sum, like = sum+o.lat, like+1
 		}
 	}
-	if least == never {
-		least = 0
-	}
-	return max(l.desk.p50, least)
+	return max(l.desk.p50, sum/max(1, like))
 }
 
 // over tells whether a tenant sends beyond its share of what this broker carries.
