No resend of a search while more of its parts broke connections than were answered

Cause: some searches bring down each node that begins a part of them; each resend brought down the second holder of a set, and with both gone the set was dark for 4 s. Told from nodes dying by themselves by the tap: of one search all seven parts were reset within 16 ms at seven nodes and none was answered, while the other searches that lost a part there had most of theirs answered. Also covers resets of everything: copies and resends do not pile on. May hurt a search that meets several dying nodes.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -251,16 +251,9 @@
 }
 
 func (d *desk) start(l *Logic) {
-	d.l, d.box.to, d.next = l, d, never
-	d.refs = map[uint64]ref{}
+	d.lay(l)
 	d.tokens = capDepth / 2
 	d.value, d.parts = 1, 1
-	d.lengths = make([]majority, len(l.t.Types))
-	d.flows = make([]rate, l.t.Cells)
-	d.cells = make([][]int32, l.t.Cells)
-	d.warms = make([]int, l.t.Cells)
-	d.slopes = make([]slope, l.t.Cells)
-	d.rates = make([]rate, len(l.t.Tenants))
 	least := never
 	for i := range l.t.Types {
 		least = min(least, l.t.Types[i].Target)
@@ -319,6 +312,7 @@
 		}
 		p.done = true
 		d.slab[r.slot].got += p.weight
+		d.slab[r.slot].broken--
 		d.record(e.Took)
 		if known {
 			d.heed(a, e.Took)
@@ -327,6 +321,9 @@
 	case broker.Refused, broker.ConnectFailed, broker.NeverSent:
 	default:
 		p.risk(a.at)
+		if e.Outcome == broker.Reset {
+			d.slab[r.slot].broken++
+		}
 	}
 }
 
@@ -642,11 +639,19 @@
 // further sends the copies and resends that are due, within the shared cap.
 func (d *desk) further(s *search) {
 	l, t := d.l, d.l.t
+	// Danger: a search may itself bring down the nodes that begin it; resends would carry it through whole
+	// sets. While more of its parts broke a connection than were answered, no further one is sent. It may
+	// hurt a search that meets several nodes just as they die.
+	suspect := s.broken > 0 && (s.broken > 1 || slices.ContainsFunc(s.parts, func(p part) bool { return p.live > 0 }))
 	for i := range s.parts {
 		p := &s.parts[i]
 		if p.done || p.dead {
 			continue
 		}
+		if suspect {
+			p.dead = p.live == 0 && s.broken > 1
+			continue
+		}
 		inTime := l.now+d.p50 <= s.deadline && len(p.tries) < t.MaxAttempts
 		if p.live == 0 {
 			if p.resent || !inTime || !d.mayRepeat(s, p) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -62,6 +62,7 @@
 	deadline time.Duration
 	last     time.Duration
 	got      float64
+	broken   int // parts that broke a connection, less those answered
 	parts    []part
 }
 
@@ -207,6 +208,18 @@
 	refusing     bool
 }
 
+// lay makes room for what the terms list.
+func (d *desk) lay(l *Logic) {
+	d.l, d.box.to, d.next = l, d, never
+	d.refs = map[uint64]ref{}
+	d.lengths = make([]majority, len(l.t.Types))
+	d.flows = make([]rate, l.t.Cells)
+	d.cells = make([][]int32, l.t.Cells)
+	d.warms = make([]int, l.t.Cells)
+	d.slopes = make([]slope, l.t.Cells)
+	d.rates = make([]rate, len(l.t.Tenants))
+}
+
 func (r *rate) add(now time.Duration, n float64) {
 	r.decay(now)
 	r.fast += n / rateFast.Seconds()
