After a search broke most of its connections its tenant's searches send one part ahead

For 30 s after such a search one part of each search of its tenant is sent first, the others when it has been answered; a search is judged when none of its parts is out any more. Covers any search that brings nodes down (by key, type or tenant). May hurt: a tenant met by a data centre's death sends one part ahead for 30 s. Brokers that saw nothing do not know.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,6 +60,7 @@
 	rateSlow    = 20 * time.Second
 	askFirst    = 500 * time.Millisecond
 	askMost     = 4 * time.Second
+	waryFor     = 30 * time.Second
 	eps         = 5e-5
 )
 
@@ -351,6 +352,11 @@
 func (d *desk) giveUp(slot int32) {
 	l, s := d.l, &d.slab[slot]
 	act := broker.Action{Kind: broker.Fail, ID: s.id}
+	if s.broken > 1 && 2*s.broken > len(s.parts) {
+		// Danger: the next search of its kind brings down as many nodes. For a while one part goes ahead.
+		d.wary[s.tenant%len(d.wary)] = l.now + waryFor
+		l.logf("tenant %d: a part goes ahead: %d of %d broke connections", s.tenant, s.broken, len(s.parts))
+	}
 	harmless := !s.stage2
 	for i := range s.parts {
 		p := &s.parts[i]
@@ -431,23 +437,30 @@
 		d.giveUp(slot)
 		return
 	}
+	s.scout = len(s.parts) > 1 && l.now < d.wary[s.tenant%len(d.wary)]
+	d.launch(s)
+	d.settle(slot)
+}
+
+// launch sends the parts that were not sent yet, or one of them ahead as a scout.
+func (d *desk) launch(s *search) {
 	for i := range s.parts {
 		p := &s.parts[i]
-		if p.dead {
+		if p.dead || len(p.tries) > 0 {
 			continue
 		}
 		at := d.ride(s, i)
 		if at < 0 {
 			at = d.pick(s, p, true, false)
 		}
-		if at < 0 {
-			p.dead = true
+		if p.dead = at < 0; p.dead {
 			continue
 		}
 		d.send(p, at)
-		d.tokens = min(capDepth, d.tokens+capShare)
+		if d.tokens = min(capDepth, d.tokens+capShare); s.scout {
+			return
+		}
 	}
-	d.settle(slot)
 }
 
 // refuse tells whether a new search should be turned away for lack of time. Danger: under overload all
@@ -642,14 +655,19 @@
 	// Danger: a search may itself bring down the nodes that begin it; resends would carry it through whole
 	// sets. While more of its parts broke a connection than were answered, no further one is sent. It may
 	// hurt a search that meets several nodes just as they die.
-	suspect := s.broken > 0 && (s.broken > 1 || slices.ContainsFunc(s.parts, func(p part) bool { return p.live > 0 }))
+	if s.scout && s.got > 0 {
+		s.scout = false
+		d.launch(s)
+	}
+	wait := s.broken > 0 && slices.ContainsFunc(s.parts, func(p part) bool { return p.live > 0 })
+	over := !wait && (s.broken > 1 || s.broken > 0 && s.scout)
 	for i := range s.parts {
 		p := &s.parts[i]
 		if p.done || p.dead {
 			continue
 		}
-		if suspect {
-			p.dead = p.live == 0 && s.broken > 1
+		if over || wait || len(p.tries) == 0 {
+			p.dead = over && p.live == 0
 			continue
 		}
 		inTime := l.now+d.p50 <= s.deadline && len(p.tries) < t.MaxAttempts
--- a/logic/state.go
+++ b/logic/state.go
@@ -62,7 +62,8 @@
 	deadline time.Duration
 	last     time.Duration
 	got      float64
-	broken   int // parts that broke a connection, less those answered
+	scout    bool // one part is sent ahead of the others
+	broken   int  // parts that broke a connection, less those answered
 	parts    []part
 }
 
@@ -202,6 +203,7 @@
 	lengths      []majority    // the usual length of a try, by type
 	short        bool          // of places
 	rates        []rate
+	wary         []time.Duration // until when a tenant's searches send one part ahead
 	total        rate
 	asks         []time.Duration // rule 6: items taken and further sub-requests in the window
 	extras       []time.Duration
@@ -218,6 +220,7 @@
 	d.warms = make([]int, l.t.Cells)
 	d.slopes = make([]slope, l.t.Cells)
 	d.rates = make([]rate, len(l.t.Tenants))
+	d.wary = make([]time.Duration, max(1, len(l.t.Tenants)))
 }
 
 func (r *rate) add(now time.Duration, n float64) {
