Brokers tell each other of sick nodes; two peers' word makes a node count as limping

Cause: 27 brokers each met every hung or dead node of 100 by themselves, and nodes that fail by turns again each turn. False rumours thin a node's traffic while they go on; a lost message only delays.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -103,6 +103,7 @@
 	Wake                            // At
 	Subscribe                       // ask for the list and its changes
 	Log                             // Text
+	Tell                            // Text: a message to all other brokers, which may be lost
 )
 
 // Action is one thing the module wants done.
@@ -140,6 +141,7 @@
 type Terms struct {
 	Seed         uint64
 	Brokers      int
+	Peers        bool // brokers may send each other messages
 	MarksRepeats bool // clients say when they ask again
 	Step         time.Duration
 	Types        []SearchType
--- a/logic/actors.go
+++ b/logic/actors.go
@@ -19,6 +19,7 @@
 	unlisted                 // node: left the list
 	sent                     // node: a part went to it
 	ended                    // node: outcome, took
+	rumour                   // node: a peer tells that it is sick, or well again
 	tick                     // node: took is how long its oldest part is out (0: none), calls how many calls
 )
 
@@ -32,6 +33,7 @@
 	share   float64
 	slow    float64
 	downed  bool
+	sick    bool          // rumour
 	limp    time.Duration // tick: the latency it is held against
 	gap     time.Duration // tick: usual time between two parts that a node is sent
 	ev      *broker.Event
@@ -107,6 +109,7 @@
 	chance  hash.Hash64
 	draw    [16]byte
 	counter uint64
+	news    []byte // what peers are told at the end of the turn
 }
 
 // New makes the decisions of one broker.
@@ -125,6 +128,8 @@
 		case broker.ListFull, broker.ListDelta, broker.ListFailed:
 			l.post(&l.keeper.box, note{kind: event, ev: ev})
 			l.run() // parts later in the batch need the list
+		case broker.PeerSaid:
+			l.hear(ev.Text)
 		default:
 			l.post(&l.desk.box, note{kind: event, ev: ev})
 		}
@@ -146,6 +151,10 @@
 	l.run()
 	l.post(&l.desk.box, note{kind: sweep})
 	l.run()
+	if len(l.news) > 0 {
+		l.out = append(l.out, broker.Action{Kind: broker.Tell, Text: string(l.news)})
+		l.news = l.news[:0]
+	}
 	if l.armed >= 0 && l.armed <= now {
 		l.armed = -1
 	}
@@ -157,4 +166,33 @@
 	return actions
 }
 
+// Peers are told facts of factSize bytes: which kind, then a node's id or a tenant's number.
+const (
+	factSize   = 7
+	factsMost  = 36 // a message holds 256 bytes
+	factSick   = 's'
+	factWell   = 'w'
+	factTenant = 't'
+)
+
+// spread keeps a fact for the peers.
+func (l *Logic) spread(kind byte, id broker.NodeID) {
+	if l.t.Peers && len(l.news) < factsMost*factSize {
+		l.news = append(append(l.news, kind), id.Addr[:]...)
+		l.news = binary.BigEndian.AppendUint16(l.news, id.Port)
+	}
+}
+
+// hear hands on what a peer told; what makes no sense is skipped.
+func (l *Logic) hear(text []byte) {
+	for ; len(text) >= factSize; text = text[factSize:] {
+		id := broker.NodeID{Addr: [4]byte(text[1:]), Port: binary.BigEndian.Uint16(text[5:])}
+		if text[0] == factTenant {
+			l.post(&l.desk.box, note{kind: rumour, node: int32(id.Port)})
+		} else if at, known := l.byID[id]; known {
+			l.post(&l.nodes[at].box, note{kind: rumour, sick: text[0] == factSick})
+		}
+	}
+}
+
 const never = time.Duration(1<<63 - 1)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -61,6 +61,8 @@
 	askFirst    = 500 * time.Millisecond
 	askMost     = 4 * time.Second
 	waryFor     = 30 * time.Second
+	rumourMany  = 1.5 // a node that more peers than this call sick counts as limping
+	rumourFade  = 3 * time.Second
 	eps         = 5e-5
 )
 
@@ -102,6 +104,18 @@
 		}
 	case unlisted:
 		n.ready = false
+	case rumour:
+		// Danger: of many brokers each meets a sick node by itself, and a node that is sick by turns for
+		// ever. Where several peers call it sick it is treated as limping, until an answer or time tells
+		// otherwise. False rumours cost it some traffic, for as long as they go on.
+		if n.rumour = n.gossip(); k.sick {
+			n.rumour++
+		} else {
+			n.rumour /= 2
+		}
+		if n.heardOf = now; n.rumour >= rumourMany {
+			n.slow = limpMost
+		}
 	case sent:
 		if !n.trusted {
 			if n.trying { // the trial before this one was never answered
@@ -132,7 +146,7 @@
 	now := n.l.now
 	switch k.outcome {
 	case broker.OK:
-		n.heard, n.unheard = now, 0
+		n.heard, n.unheard, n.rumour = now, 0, 0
 		n.doubt -= doubtStep * n.doubt
 		n.learn(k.took)
 		if n.downed && now-n.broke >= downLeast {
@@ -145,6 +159,7 @@
 		if !n.trusted {
 			if n.until = now; n.doubt < doubtTrust {
 				n.trusted, n.regained = true, now
+				n.l.spread(factWell, n.id)
 				n.l.logf("%v trusted: doubt %.2f", n.id, n.doubt)
 			}
 		}
@@ -199,15 +214,27 @@
 	}
 	n.ticked = now
 	ratio := min(limpMost, float64(max(n.lat, k.took))/float64(k.limp))
+	was := n.slow
 	if n.slow = 1; ratio >= limpOn {
 		n.slow = math.Floor(ratio)
 	}
+	if n.gossip() >= rumourMany {
+		n.slow = limpMost
+	} else if was == 1 && n.slow > 1 && n.trusted {
+		n.l.spread(factSick, n.id)
+	}
+}
+
+// gossip is how many peers lately called the node sick.
+func (n *node) gossip() float64 {
+	return n.rumour * math.Exp(-float64(n.l.now-n.heardOf)/float64(rumourFade))
 }
 
 // distrust sends a node no work but a lone part now and then, ever rarer while it fails.
 func (n *node) distrust(why string, figure float64) {
 	now := n.l.now
 	if n.trusted {
+		n.l.spread(factSick, n.id)
 		n.l.logf("%v shut: %s (%.2f)", n.id, why, figure)
 	}
 	switch {
@@ -347,6 +374,10 @@
 	d.base = min(d.p50, time.Duration(baseCreep*float64(d.base)))
 }
 
+func (d *desk) beWary(tenant int) {
+	d.wary[tenant%len(d.wary)] = d.l.now + waryFor
+}
+
 // giveUp sends the final answer of a search that can't be answered: a shed where that is true and allowed,
 // with the time to come back in; else a failure.
 func (d *desk) giveUp(slot int32) {
@@ -354,7 +385,8 @@
 	act := broker.Action{Kind: broker.Fail, ID: s.id}
 	if s.broken > 1 && 2*s.broken > len(s.parts) {
 		// Danger: the next search of its kind brings down as many nodes. For a while one part goes ahead.
-		d.wary[s.tenant%len(d.wary)] = l.now + waryFor
+		d.beWary(s.tenant)
+		l.spread(factTenant, broker.NodeID{Port: uint16(s.tenant)})
 		l.logf("tenant %d: a part goes ahead: %d of %d broke connections", s.tenant, s.broken, len(s.parts))
 	}
 	harmless := !s.stage2
--- a/logic/state.go
+++ b/logic/state.go
@@ -174,6 +174,8 @@
 	warming  bool
 	since    time.Duration // cold start
 	told     note
+	rumour   float64 // how many peers say that it is sick, fading
+	heardOf  time.Duration
 }
 
 // desk holds the searches in hand and sends their parts.
@@ -331,6 +333,8 @@
 		d.tally(b, 1)
 	case sweep:
 		d.sweep()
+	case rumour:
+		d.beWary(int(n.node))
 	case event:
 		switch n.ev.Kind {
 		case broker.SearchIn:
--- a/simwire/host.go
+++ b/simwire/host.go
@@ -28,6 +28,7 @@
 	evSelect                                                       = 12
 
 	acSend, acShed, acFailure, acAbandon, acTimer = 1, 2, 3, 4, 5
+	acTell                                        = 8
 	acEmit, acKeepInformed, acRespond, acOnBehalf = 9, 11, 13, 14
 
 	listDelta, listFailed, listFull, listCached = 1, 2, 3, 4
@@ -326,9 +327,17 @@
 	case broker.Subscribe:
 		h.record(acKeepInformed)[1] = 1
 	case broker.Log:
-		r := h.record(acEmit)
-		be.PutUint32(r[1:], uint32(len(h.tail)))
-		be.PutUint32(r[5:], uint32(len(a.Text)))
-		h.tail = append(h.tail, a.Text...)
+		h.text(h.record(acEmit)[1:], a.Text)
+	case broker.Tell:
+		r := h.record(acTell)
+		be.PutUint32(r[1:], math.MaxUint32) // every peer
+		h.text(r[5:], a.Text)
 	}
 }
+
+// text puts a field's bytes in the tail.
+func (h *Host) text(field []byte, s string) {
+	be.PutUint32(field, uint32(len(h.tail)))
+	be.PutUint32(field[4:], uint32(len(s)))
+	h.tail = append(h.tail, s...)
+}
--- a/simwire/setup.go
+++ b/simwire/setup.go
@@ -122,6 +122,7 @@
 	t := broker.Terms{
 		Seed:         seed,
 		Brokers:      max(1, p.count("balancers", false, 1)),
+		Peers:        p.flag("permissions.peers"),
 		MarksRepeats: p.flag("clients.marksRetry"),
 		Step:         p.span("stepNs", false),
 		OverShare:    p.num("overShareWorth", false, 1),
