A search that reaches over half the fleet sends one part ahead

The first part goes ahead, the others when it has been answered. Covers any single search that could take the fleet with it. It costs such a search one part's latency, and holds parts back while servers are free: for these searches alone.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,6 +60,7 @@
 	rateSlow    = 20 * time.Second
 	askFirst    = 500 * time.Millisecond
 	askMost     = 4 * time.Second
+	wideShare   = 2.0
 	waryFor     = 30 * time.Second
 	rumourMany  = 1.5 // a node that more peers than this call sick counts as limping
 	rumourFade  = 3 * time.Second
@@ -214,14 +215,11 @@
 	}
 	n.ticked = now
 	ratio := min(limpMost, float64(max(n.lat, k.took))/float64(k.limp))
-	was := n.slow
 	if n.slow = 1; ratio >= limpOn {
 		n.slow = math.Floor(ratio)
 	}
 	if n.gossip() >= rumourMany {
 		n.slow = limpMost
-	} else if was == 1 && n.slow > 1 && n.trusted {
-		n.l.spread(factSick, n.id)
 	}
 }
 
@@ -469,7 +467,8 @@
 		d.giveUp(slot)
 		return
 	}
-	s.scout = len(s.parts) > 1 && l.now < d.wary[s.tenant%len(d.wary)]
+	wide := wideShare*float64(len(s.parts)) > float64(len(d.board))
+	s.scout = len(s.parts) > 1 && (wide || l.now < d.wary[s.tenant%len(d.wary)])
 	d.launch(s)
 	d.settle(slot)
 }
