--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,6 +60,7 @@
 	rateSlow    = 20 * time.Second
 	askFirst    = 500 * time.Millisecond
 	askMost     = 4 * time.Second
+	scouts      = 2
 	wideShare   = 2.0
 	waryFor     = 30 * time.Second
 	rumourMany  = 1.5 // a node that more peers than this call sick counts as limping
@@ -468,13 +469,14 @@
 		return
 	}
 	wide := wideShare*float64(len(s.parts)) > float64(len(d.board))
-	s.scout = len(s.parts) > 1 && (wide || l.now < d.wary[s.tenant%len(d.wary)])
+	s.scout = len(s.parts) > scouts && (wide || l.now < d.wary[s.tenant%len(d.wary)])
 	d.launch(s)
 	d.settle(slot)
 }
 
-// launch sends the parts that were not sent yet, or one of them ahead as a scout.
+// launch sends the parts that were not sent yet, or a few of them ahead as scouts.
 func (d *desk) launch(s *search) {
+	ahead := 0
 	for i := range s.parts {
 		p := &s.parts[i]
 		if p.dead || len(p.tries) > 0 {
@@ -488,7 +490,8 @@
 			continue
 		}
 		d.send(p, at)
-		if d.tokens = min(capDepth, d.tokens+capShare); s.scout {
+		d.tokens = min(capDepth, d.tokens+capShare)
+		if ahead++; s.scout && ahead == scouts {
 			return
 		}
 	}
