Bookkeeping moved beside the state; a cold node's pace starts at a time of each broker's own

Danger met: with many brokers, each allowed its first part to a new cold node at once; the sum is a burst. Now each starts its pace at a random time.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -128,10 +128,9 @@
 	case ended:
 		n.ended(k)
 	case tick:
-		// Danger: a node that takes parts and answers none (hung, stalled, cut off one way, or silent
-		// for any other reason): since it was last heard its calls together have waited several times
-		// what is usual. It may hurt when a whole fleet stops at once; then the least busy still get a
-		// little.
+		// Danger: a node that takes parts and answers none (hung, stalled, cut off one way, or silent for any
+		// other reason): since it was last heard its calls together have waited several times what is usual.
+		// It may hurt when a whole fleet stops at once; then the least busy still get a little.
 		wait := min(k.took, now-n.heard)
 		n.unheard += time.Duration(k.calls) * min(now-n.ticked, wait)
 		exposed := wait > silentLeast && float64(n.unheard) > silentFactor*float64(k.limp)
@@ -152,8 +151,8 @@
 		n.doubt -= doubtStep * n.doubt
 		n.learn(k.took)
 		if n.downed && now-n.broke >= downLeast {
-			// Danger: a process that came back is cold before the list says so. A lone reset, or a
-			// full table of connections, passes sooner and is no new start.
+			// Danger: a process that came back is cold before the list says so. A lone reset, or a full table
+			// of connections, passes sooner and is no new start.
 			n.warming, n.since = true, now
 			n.l.logf("%v cold: alive %v after its connections failed", n.id, now-n.broke)
 		}
@@ -204,11 +203,10 @@
 	return 1 - math.Exp(-float64(n.l.now-n.ticked)/float64(max(limpFade, limpVisits*n.gap)))
 }
 
-// limp weighs a node's latency, or the age of its oldest part, against the usual one. Danger: a node
-// several times slower than its like (slow machine, busy neighbour, crowd sent by others) still looks
-// idle to a broker with few parts out, and holds up every search that meets it. While it limps, each
-// of its calls counts as several. It may hurt for a moment after a pause: its late answers make it
-// look slow.
+// limp weighs a node's latency, or the age of its oldest part, against the usual one. Danger: a node several
+// times slower than its like (slow machine, busy neighbour, crowd sent by others) still looks idle to a
+// broker with few parts out, and holds up every search that meets it. While it limps, each of its calls
+// counts as several. It may hurt for a moment after a pause: its late answers make it look slow.
 func (n *node) limp(k *note) {
 	now := n.l.now
 	if n.lat > k.limp {
@@ -250,9 +248,9 @@
 	k := note{kind: standing, node: n.at, mode: fit, share: 1, slow: n.slow, downed: n.downed}
 	t := n.l.t
 	if n.warming {
-		// Danger (rule 4): all brokers at once push a cold node over. Capacity grows no slower than
-		// evenly, and each broker keeps to a share of what it sends a like warm node, so their sum
-		// holds without agreement.
+		// Danger (rule 4): all brokers at once push a cold node over. Capacity grows no slower than evenly,
+		// and each broker keeps to a share of what it sends a like warm node, so their sum holds without
+		// agreement.
 		age := n.l.now - n.since
 		if age >= t.WarmAfter {
 			n.warming = false
@@ -295,61 +293,37 @@
 		l.out = append(l.out, broker.Action{Kind: broker.Fail, ID: e.ID})
 		return
 	}
-	slot := d.place()
-	t := &l.t.Types[e.Type]
-	s := &d.slab[slot]
-	*s = search{gen: s.gen, id: e.ID, inUse: true, serial: e.Serial, typ: t, tenant: e.Tenant,
-		expect: int(e.Weight), deadline: l.now + min(t.Target, e.Left) - margin,
-		last: l.now + e.Left - guardSteps*l.t.Step, parts: s.parts[:0]}
+	s := d.admit(e)
+	s.deadline = l.now + min(s.typ.Target, e.Left) - margin
+	s.last = l.now + e.Left - guardSteps*l.t.Step
 	// A repeat shorter than the usual try was cut by its client's timeout, which tells when it first asked.
 	usual := d.lengths[e.Type].vote(e.Left)
 	if (e.Repeat || !l.t.MarksRepeats) && e.Left < usual-repeatSlack {
-		s.spent = max(0, t.Timeout-e.Left)
+		s.spent = max(0, s.typ.Timeout-e.Left)
 	}
-	d.refs[e.ID] = ref{slot, -1, s.gen}
-	d.total.add(l.now, 1)
-	if s.tenant < len(d.rates) {
-		d.rates[s.tenant].add(l.now, 1)
-	}
-	d.count()
 }
 
 func (d *desk) ended(e *broker.Event) {
-	l := d.l
-	at, known := l.byID[e.Node]
-	if known {
-		d.returned(&d.board[at], l.now-e.Took)
-		l.post(&l.nodes[at].box, note{kind: ended, outcome: e.Outcome, took: e.Took})
-	}
-	r, ok := d.find(e.ID)
-	if !ok || r.part < 0 {
+	s, p, a := d.returned(e)
+	if a == nil {
 		return
 	}
-	p := &d.slab[r.slot].parts[r.part]
-	if int(e.Attempt) >= len(p.tries) || !p.tries[e.Attempt].live {
-		return
-	}
-	a := &p.tries[e.Attempt]
-	a.live = false
-	p.live--
 	switch e.Outcome {
 	case broker.OK:
 		if p.done {
 			return
 		}
 		p.done = true
-		d.slab[r.slot].got += p.weight
-		d.slab[r.slot].broken--
+		s.got += p.weight
+		s.in++
 		d.record(e.Took)
-		if known {
-			d.heed(a, e.Took)
-		}
+		d.heed(a, e.Took)
 		d.cancel(p)
 	case broker.Refused, broker.ConnectFailed, broker.NeverSent:
 	default:
 		p.risk(a.at)
 		if e.Outcome == broker.Reset {
-			d.slab[r.slot].broken++
+			s.broke++
 		}
 	}
 }
@@ -382,18 +356,13 @@
 func (d *desk) giveUp(slot int32) {
 	l, s := d.l, &d.slab[slot]
 	act := broker.Action{Kind: broker.Fail, ID: s.id}
-	if s.broken > 1 && 2*s.broken > len(s.parts) {
-		// Danger: the next search of its kind brings down as many nodes. For a while one part goes ahead.
+	// Danger: the next search of its kind brings down as many nodes. For a while a few parts go ahead.
+	if broken := s.broke - s.in; broken > 1 && 2*broken > len(s.parts) {
 		d.beWary(s.tenant)
 		l.spread(factTenant, broker.NodeID{Port: uint16(s.tenant)})
-		l.logf("tenant %d: a part goes ahead: %d of %d broke connections", s.tenant, s.broken, len(s.parts))
-	}
-	harmless := !s.stage2
-	for i := range s.parts {
-		p := &s.parts[i]
-		harmless = harmless && p.live == 0 && !p.mayRun && !p.done
+		l.logf("tenant %d: parts go ahead: %d of %d broke connections", s.tenant, s.broke, len(s.parts))
 	}
-	if (harmless || s.typ.Effect == broker.Idempotent) && l.now < s.last {
+	if (s.untouched() || s.typ.Effect == broker.Idempotent) && l.now < s.last {
 		act.Kind = broker.Shed
 		if l.t.RetryAfter {
 			act.After = time.Duration((0.5 + 0.5*l.rand()) * float64(l.t.MaxRetryAfter))
@@ -435,26 +404,15 @@
 // settle answers or gives up a search as soon as its state allows.
 func (d *desk) settle(slot int32) {
 	s, now := &d.slab[slot], d.l.now
-	need, least := s.typ.Need, s.typ.Floor
-	if s.stage2 {
-		if need = 1; least >= s.typ.Need {
-			least = 1
-		}
-	}
-	open := 0.0
-	for i := range s.parts {
-		if p := &s.parts[i]; !p.done && !p.dead {
-			open += p.weight
-		}
-	}
+	need, least := s.wants()
+	open := s.open()
 	enough := s.got >= least-eps
 	switch {
 	case s.got >= need-eps:
 		d.answer(slot, !s.stage2 || s.whole1)
 	case enough && (now >= s.deadline || open == 0):
 		d.answer(slot, false)
-	// Danger: late searches that wait for silent nodes fill all places, and new ones are turned away
-	// unseen.
+	// Danger: late searches that wait for silent nodes fill all places, and new ones are turned away unseen.
 	case now >= s.last, now >= s.deadline && d.short, !enough && s.got+open < least-eps:
 		d.giveUp(slot)
 	}
@@ -498,10 +456,10 @@
 }
 
 // refuse tells whether a new search should be turned away for lack of time. Danger: under overload all
-// searches end late and every retry adds to it. The wait expected of each set of nodes is held against
-// the time left; least value for its parts goes first, so does what is beyond its tenant's share. A
-// search that may be answered in part leaves out what no node holds or only crowded ones, down to its
-// floor; one that can't reach it is given up before any work is spent on it.
+// searches end late and every retry adds to it. The wait expected of each set of nodes is held against the
+// time left; least value for its parts goes first, so does what is beyond its tenant's share. A search that
+// may be answered in part leaves out what no node holds or only crowded ones, down to its floor; one that
+// can't reach it is given up before any work is spent on it.
 func (d *desk) refuse(s *search) bool {
 	l := d.l
 	value := s.typ.Value
@@ -536,8 +494,8 @@
 	return share < s.typ.Floor-eps
 }
 
-// wait is the latency expected of a part sent to a node: by its set's record, and no less than what
-// the second oldest of its calls has waited (the oldest may be stuck alone).
+// wait is the latency expected of a part sent to a node: by its set's record, and no less than what the
+// second oldest of its calls has waited (the oldest may be stuck alone).
 func (d *desk) wait(at int32) float64 {
 	b := &d.board[at]
 	k := &d.slopes[b.cell%d.l.t.Cells]
@@ -554,8 +512,8 @@
 	return usual + (of-usual)*math.Exp(-float64(d.l.now-at)/float64(loadFade))
 }
 
-// usual is the latency that a node is held against: the fleet's p50, or that of its like where that is longer (danger: in a crowded set all nodes look sick, and shutting some crowds the
-// others).
+// usual is the latency that a node is held against: the fleet's p50, or that of its like where that is longer
+// (danger: in a crowded set all nodes look sick, and shutting some crowds the others).
 func (l *Logic) usual(n *node) time.Duration {
 	sum, like := time.Duration(0), time.Duration(0)
 	for _, at := range l.desk.cells[n.cell%l.t.Cells] {
@@ -579,28 +537,22 @@
 
 // ride finds the node to which another part of the search, held by the same nodes, goes this turn.
 func (d *desk) ride(s *search, i int) int32 {
-	l, riders := d.l, 1
-	if l.t.BatchParts < 2 {
-		return -1
-	}
+	riders := 1
 	for j := i - 1; j >= 0; j-- {
-		p := &s.parts[j]
-		if (p.shard-s.parts[i].shard)%l.t.Cells != 0 || p.live == 0 {
-			continue
-		}
-		if riders++; riders > l.t.BatchParts {
-			return -1
-		}
-		if at := p.tries[0].node; d.board[at].mode == fit {
-			return at
+		if p := &s.parts[j]; (p.shard-s.parts[i].shard)%d.l.t.Cells == 0 && p.live > 0 {
+			if riders++; riders > d.l.t.BatchParts {
+				return -1
+			}
+			if at := p.tries[0].node; d.board[at].mode == fit {
+				return at
+			}
 		}
 	}
 	return -1
 }
 
-// pick chooses a holder of the part: fewest calls out, ties at random. First sends also go, one at a
-// time, to a distrusted node whose trial is due. Where every holder is distrusted, the least busy
-// still gets a little.
+// pick chooses a holder of the part: fewest calls out, ties at random. First sends also go, one at a time, to
+// a distrusted node whose trial is due. Where every holder is distrusted, the least busy still gets a little.
 func (d *desk) pick(s *search, p *part, first, again bool) int32 {
 	l, best, least, ties := d.l, int32(-1), 0.0, 0
 	bestShut := int32(-1)
@@ -643,11 +595,10 @@
 	return best
 }
 
-// mayWarm tells whether a cold node may be sent a part. Its ration grows by its share of what a like
-// warm node is sent: now, in its own set, or usually, on average (a jam that lacks the cold nodes must
-// not starve them), and no more than coldSpread of the usual, as a set short of nodes may be sent more
-// than it can do. Before anything is known: when none is out, at a pace that all brokers can keep
-// within one core's share.
+// mayWarm tells whether a cold node may be sent a part. Its ration grows by its share of what a like warm
+// node is sent: now, in its own set, or usually, on average (a jam that lacks the cold nodes must not starve
+// them), and no more than coldSpread of the usual, as a set short of nodes may be sent more than it can do.
+// Before anything is known: when none is out, at its pace.
 func (d *desk) mayWarm(b *seat) bool {
 	now := d.l.now
 	usual, own := d.flow.usual(now), &d.flows[b.cell%d.l.t.Cells]
@@ -655,8 +606,16 @@
 	flow := min(max(own.fast, usual), coldSpread*usual)
 	b.ration = min(2, b.ration+b.share*flow*(now-b.rationed).Seconds())
 	b.rationed = now
-	pace := float64(d.l.t.Brokers) * float64(d.base) / b.share
-	return b.ration >= 1 || len(b.calls) == 0 && float64(now-b.last) >= pace
+	return b.ration >= 1 || len(b.calls) == 0 && float64(now-b.last) >= d.pace(b)
+}
+
+// pace is the time between parts to a cold node that all brokers can keep within one core's share.
+func (d *desk) pace(b *seat) float64 { return float64(d.l.t.Brokers) * float64(d.base) / b.share }
+
+// chill starts the ration of a node that has just turned cold, at a time of this broker's own.
+func (d *desk) chill(b *seat) {
+	b.ration, b.rationed = 0, d.l.now
+	b.last = d.l.now - time.Duration(d.l.rand()*d.pace(b))
 }
 
 func (d *desk) send(p *part, at int32) {
@@ -671,37 +630,31 @@
 		d.flow.add(l.now, 1/float64(d.warm))
 		d.flows[b.cell%l.t.Cells].add(l.now, 1/float64(d.warms[b.cell%l.t.Cells]))
 	}
-	p.tries = append(p.tries, attempt{node: at, live: true, at: l.now, load: d.load(b.cell)})
-	p.live++
-	if n := len(b.calls); n > 0 && b.calls[n-1].at == l.now && b.calls[n-1].parts < l.t.BatchParts {
-		b.calls[n-1].parts++
-	} else {
-		b.calls = append(b.calls, call{l.now, 1})
-	}
-	b.last = l.now
+	d.book(p, at)
 	l.out = append(l.out, broker.Action{Kind: broker.Send, ID: p.id, Node: b.id})
 	l.post(&l.nodes[at].box, note{kind: sent})
 }
 
-// further sends the copies and resends that are due, within the shared cap.
+// further sends the copies and resends that are due, within the shared cap, and what waited for scouts.
+// Danger: a search may itself bring down the nodes that begin it; resends would carry it through whole sets.
+// While more of its parts broke a connection than were answered, no further one is sent; once none is out it
+// is over. It may hurt a search that meets several nodes just as they die.
 func (d *desk) further(s *search) {
 	l, t := d.l, d.l.t
-	// Danger: a search may itself bring down the nodes that begin it; resends would carry it through whole
-	// sets. While more of its parts broke a connection than were answered, no further one is sent. It may
-	// hurt a search that meets several nodes just as they die.
-	if s.scout && s.got > 0 {
+	if s.scout && s.in > 0 {
 		s.scout = false
 		d.launch(s)
 	}
-	wait := s.broken > 0 && slices.ContainsFunc(s.parts, func(p part) bool { return p.live > 0 })
-	over := !wait && (s.broken > 1 || s.broken > 0 && s.scout)
+	suspect := s.broke > s.in
+	out := suspect && slices.ContainsFunc(s.parts, func(p part) bool { return p.live > 0 })
+	over := suspect && !out && (s.broke > s.in+1 || s.scout)
 	for i := range s.parts {
 		p := &s.parts[i]
 		if p.done || p.dead {
 			continue
 		}
-		if over || wait || len(p.tries) == 0 {
-			p.dead = over && p.live == 0
+		if over || out || len(p.tries) == 0 {
+			p.dead = over
 			continue
 		}
 		inTime := l.now+d.p50 <= s.deadline && len(p.tries) < t.MaxAttempts
@@ -715,13 +668,17 @@
 				continue
 			}
 			a := p.tries[len(p.tries)-1]
-			if due := a.at + d.copyAfter(s); due > l.now {
+			due := a.at + d.p95
+			if d.taken < fewSamples {
+				due = a.at + s.typ.Target/2
+			}
+			if due > l.now {
 				d.next = min(d.next, due)
 				continue
 			}
-			// Danger: copies made while a whole set, or everything, is slow join the crowd they flee from
-			// and keep a jam alive. Then only parts held by a distrusted node are copied. It may hurt where
-			// half the nodes of a set turn slow.
+			// Danger: copies made while a whole set, or everything, is slow join the crowd they flee from and
+			// keep a jam alive. Then only parts held by a distrusted node are copied. It may hurt where half
+			// the nodes of a set turn slow.
 			b := &d.board[a.node]
 			k := &d.slopes[b.cell%t.Cells]
 			crowded := max(float64(d.p50), d.fresh(k.took, k.at)) > crowdMost*float64(d.base)
@@ -750,13 +707,6 @@
 	}
 }
 
-func (d *desk) copyAfter(s *search) time.Duration {
-	if d.taken < fewSamples {
-		return s.typ.Target / 2
-	}
-	return d.p95
-}
-
 // mayRepeat tells whether a part whose sub-requests have all ended may be sent again (rule 2).
 func (d *desk) mayRepeat(s *search, p *part) bool {
 	switch s.typ.Effect {
--- a/logic/state.go
+++ b/logic/state.go
@@ -63,7 +63,8 @@
 	last     time.Duration
 	got      float64
 	scout    bool // one part is sent ahead of the others
-	broken   int  // parts that broke a connection, less those answered
+	in       int  // parts answered
+	broke    int  // sub-requests that broke their connection
 	parts    []part
 }
 
@@ -85,6 +86,32 @@
 	r.at = now
 }
 
+// wants is the weight that makes a whole answer of this step, and the least for any answer.
+func (s *search) wants() (need, least float64) {
+	need, least = s.typ.Need, s.typ.Floor
+	if s.stage2 {
+		if need = 1; least >= s.typ.Need {
+			least = 1
+		}
+	}
+	return need, least
+}
+
+// untouched tells whether no part of the search can have run.
+func (s *search) untouched() bool {
+	return !s.stage2 && !slices.ContainsFunc(s.parts, func(p part) bool { return p.live > 0 || p.mayRun || p.done })
+}
+
+// open is the weight of the parts that may still come.
+func (s *search) open() (sum float64) {
+	for i := range s.parts {
+		if p := &s.parts[i]; !p.done && !p.dead {
+			sum += p.weight
+		}
+	}
+	return sum
+}
+
 // trim drops the times at or before the bound.
 func trim(times []time.Duration, bound time.Duration) []time.Duration {
 	n := 0
@@ -104,8 +131,42 @@
 	}
 }
 
-// returned takes one part off the call that was sent at that time, or off the one sent nearest to it.
-func (d *desk) returned(b *seat, at time.Duration) {
+// returned takes a sub-request that has ended off the books; the last result is nil where nobody waits for it.
+func (d *desk) returned(e *broker.Event) (*search, *part, *attempt) {
+	if at, known := d.l.byID[e.Node]; known {
+		d.unload(&d.board[at], d.l.now-e.Took)
+		d.l.post(&d.l.nodes[at].box, note{kind: ended, outcome: e.Outcome, took: e.Took})
+	}
+	r, ok := d.find(e.ID)
+	if !ok || r.part < 0 {
+		return nil, nil, nil
+	}
+	s := &d.slab[r.slot]
+	p := &s.parts[r.part]
+	if int(e.Attempt) >= len(p.tries) || !p.tries[e.Attempt].live {
+		return nil, nil, nil
+	}
+	a := &p.tries[e.Attempt]
+	a.live = false
+	p.live--
+	return s, p, a
+}
+
+// book puts a sub-request on the books; sends of one turn to one node share a call.
+func (d *desk) book(p *part, at int32) {
+	b, now := &d.board[at], d.l.now
+	p.tries = append(p.tries, attempt{node: at, live: true, at: now, load: d.load(b.cell)})
+	p.live++
+	if n := len(b.calls); n > 0 && b.calls[n-1].at == now && b.calls[n-1].parts < d.l.t.BatchParts {
+		b.calls[n-1].parts++
+	} else {
+		b.calls = append(b.calls, call{now, 1})
+	}
+	b.last = now
+}
+
+// unload takes one part off the call that was sent at that time, or off the one sent nearest to it.
+func (d *desk) unload(b *seat, at time.Duration) {
 	best := -1
 	for i := range b.calls {
 		if best < 0 || (b.calls[i].at-at).Abs() < (b.calls[best].at-at).Abs() {
@@ -237,6 +298,21 @@
 	return r.slow / (1 - math.Exp(-float64(max(1, now))/float64(rateSlow)))
 }
 
+// admit puts a new search in the slab.
+func (d *desk) admit(e *broker.Event) *search {
+	slot, now := d.place(), d.l.now
+	s := &d.slab[slot]
+	*s = search{gen: s.gen, id: e.ID, inUse: true, serial: e.Serial, typ: &d.l.t.Types[e.Type],
+		tenant: e.Tenant, expect: int(e.Weight), parts: s.parts[:0]}
+	d.refs[e.ID] = ref{slot, -1, s.gen}
+	d.total.add(now, 1)
+	if s.tenant < len(d.rates) {
+		d.rates[s.tenant].add(now, 1)
+	}
+	d.count()
+	return s
+}
+
 func (d *desk) count() {
 	if w := d.l.t.ExtraWindow; w > 0 {
 		d.asks = trim(append(d.asks, d.l.now), d.l.now-w)
@@ -321,7 +397,8 @@
 	case standing:
 		b := &d.board[n.node]
 		if b.share == 1 && n.share < 1 {
-			b.ration, b.rationed = 0, d.l.now
+			b.share = n.share
+			d.chill(b)
 		}
 		d.tally(b, -1)
 		if c := n.entry.Cell; c != b.cell || !slices.Contains(d.cells[c%d.l.t.Cells], n.node) {
