--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,7 +42,6 @@
 	backoffFirst = 200 * time.Millisecond
 	darkPace     = 500 * time.Millisecond // a node of a set that is all distrusted gets a part so often
 	backoffMost  = 3 * time.Second
-	downLeast    = time.Second     // no answer for so long: the process may have started anew
 	flapWithin   = 2 * time.Second // distrusted again so soon, it is tried ever rarer
 	coldSafety   = 0.6             // share of the cold rule's limit that is used
 	coldSpread   = 1.6             // and of the usual flow that its set may lend it
@@ -150,12 +149,6 @@
 		n.heard, n.unheard, n.rumour = now, 0, 0
 		n.doubt -= doubtStep * n.doubt
 		n.learn(k.took)
-		if n.downed && now-n.broke >= downLeast {
-			// Danger: a process that came back is cold before the list says so. A lone reset, or a full table
-			// of connections, passes sooner and is no new start.
-			n.warming, n.since = true, now
-			n.l.logf("%v cold: alive %v after its connections failed", n.id, now-n.broke)
-		}
 		n.downed = false
 		if !n.trusted {
 			if n.until = now; n.doubt < doubtTrust {
@@ -170,9 +163,6 @@
 		}
 	case broker.Errored, broker.Reset:
 		n.heard, n.unheard = now, 0
-		if k.outcome == broker.Reset && !n.downed {
-			n.broke = now
-		}
 		n.doubt += doubtStep * (1 - n.doubt)
 		if n.doubt > doubtShut || !n.trusted {
 			n.distrust("errors", n.doubt)
@@ -181,9 +171,6 @@
 		n.heard, n.unheard = now, 0
 		n.distrust("refuses", n.doubt)
 	case broker.ConnectFailed:
-		if !n.downed && now-n.broke > downLeast {
-			n.broke = now
-		}
 		n.downed = true
 		n.distrust("unreachable", n.doubt)
 	}
@@ -577,8 +564,8 @@
 			continue
 		}
 		cost := b.slow * float64(len(b.calls)+1)
-		if len(b.calls) == 0 && b.slow > 1 && l.rand()*b.slow < 1 {
-			cost = 1 // where all are idle, a limping node gets its share of parts, no more and no less
+		if len(b.calls) == 0 && b.slow > 1 && l.rand() < math.Pow(b.slow, float64(1-d.warms[b.cell%l.t.Cells])) {
+			cost = 1 // where all are idle, a limping node gets fewer parts the more like it there are
 		}
 		switch {
 		case best < 0 || cost < least:
--- a/logic/state.go
+++ b/logic/state.go
@@ -221,7 +221,6 @@
 	trusted  bool
 	trying   bool          // a trial is out
 	regained time.Duration // when it was last trusted anew
-	broke    time.Duration // when its connections began to fail
 	downed   bool          // its connections broke: when it lives again, it may have started anew
 	lat      time.Duration
 	slow     float64
