A zone whose parts mostly fail, while another's do not, counts as limping as a whole

Symptom: one zone 13% without connection, the two others with parts of 3.9 s. Cause: one data centre cut off from the other two; told from dead or silent nodes by the tap: its own brokers reach it (p50 0.13 s) and nobody else, and it reaches nobody else. At 0.05 parts a second and node each broker had to find out 85 nodes one by one. Change: answers and failures (no connection, silence, parts called off past p95) weigh on the node's zone as well. Also covers a sick or slow data centre. May hurt where the sick nodes of one zone outweigh its sound ones.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -38,6 +38,7 @@
 type Entry struct {
 	Node  NodeID
 	Cell  int
+	Zone  int
 	State ListState
 	Boot  time.Duration
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -62,6 +62,9 @@
 	scouts      = 2
 	wideShare   = 2.0
 	waryFor     = 30 * time.Second
+	zoneStep    = 0.1 // weight of one answer or failure in its zone's record
+	zoneBad     = 0.5
+	zoneFade    = 10 * time.Second
 	rumourMany  = 1.5 // a node that more peers than this call sick counts as limping
 	rumourFade  = 3 * time.Second
 	eps         = 5e-5
@@ -563,8 +566,12 @@
 			}
 			continue
 		}
-		cost := b.slow * float64(len(b.calls)+1)
-		if len(b.calls) == 0 && b.slow > 1 && l.rand() < math.Pow(b.slow, float64(1-d.warms[b.cell%l.t.Cells])) {
+		slow := b.slow
+		if d.shunned(b) {
+			slow = limpMost
+		}
+		cost := slow * float64(len(b.calls)+1)
+		if len(b.calls) == 0 && slow > 1 && l.rand() < math.Pow(slow, float64(1-d.warms[b.cell%l.t.Cells])) {
 			cost = 1 // where all are idle, a limping node gets fewer parts the more like it there are
 		}
 		switch {
@@ -582,6 +589,42 @@
 	return best
 }
 
+// weigh adds an outcome to the record of a node's zone. Danger: a data centre that can't
+// be reached, or is sick as a whole, would have to be found out node by node. While most of what goes to a
+// zone fails, and not so in another, its nodes count as limping. It may hurt where chance gathers the sick
+// nodes in one zone, until the others' answers clear it.
+func (d *desk) weigh(b *seat, e *broker.Event) {
+	z, was, failed := &d.zones[b.zone], d.shunned(b), 1.0
+	switch e.Outcome {
+	case broker.OK:
+		failed = 0
+	case broker.ConnectFailed, broker.TimedOut:
+	default:
+		if e.Outcome != broker.Cancelled || e.Took < d.p95 {
+			return
+		}
+	}
+	z.doubt, z.at = d.doubt(b.zone), d.l.now
+	z.doubt += zoneStep * (failed - z.doubt)
+	if on := d.shunned(b); on != was {
+		d.l.logf("zone %d shunned %v: doubt %.2f", b.zone, on, z.doubt)
+	}
+}
+
+func (d *desk) doubt(zone int) float64 {
+	z := &d.zones[zone]
+	return z.doubt * math.Exp(-float64(d.l.now-z.at)/float64(zoneFade))
+}
+
+func (d *desk) shunned(b *seat) bool {
+	least := 1.0
+	for i := range d.zones {
+		least = min(least, d.doubt(i))
+	}
+	doubt := d.doubt(b.zone)
+	return doubt > zoneBad && least < doubt/2
+}
+
 // mayWarm tells whether a cold node may be sent a part. Its ration grows by its share of what a like warm
 // node is sent: now, in its own set, or usually, on average (a jam that lacks the cold nodes must not starve
 // them), and no more than coldSpread of the usual, as a set short of nodes may be sent more than it can do.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -317,3 +317,30 @@
 	}
 	must(t, testing.AllocsPerRun(500, round) == 0, "the ordinary path allocates")
 }
+
+// A data centre that answers nothing is found out as one (incident if2893d); one sick node is not held against its
+// zone, and nothing is shunned where all zones fail alike.
+func TestZoneShunned(t *testing.T) {
+	r := newRig(smallTerms(), 12)
+	for _, e := range r.l.desk.board[:6] {
+		r.l.desk.board[r.l.byID[e.id]].zone = 1
+	}
+	r.l.desk.zones = make([]zone, 2)
+	sick := func(n broker.NodeID) bool { return n.Addr[3] < 6 }
+	before := 0
+	for i := range 800 {
+		if i%8 == 0 {
+			r.ask(0, 1500*ms, 0, 1)
+		}
+		r.endWhere(broker.OK, 95*ms, func(n broker.NodeID) bool { return !sick(n) })
+		r.step(5 * ms)
+		if i == 400 {
+			before = len(r.sends[nodeID(0)]) + len(r.sends[nodeID(3)])
+			must(t, r.l.desk.shunned(&r.l.desk.board[0]), "zone 1 is shunned")
+		}
+	}
+	after := len(r.sends[nodeID(0)]) + len(r.sends[nodeID(3)]) - before
+	must(t, after < 8 && r.bad == "", "%d sent to two shunned nodes in 2 s: %s", after, r.bad)
+	r.l.desk.zones[0] = zone{doubt: 0.9, at: r.now}
+	must(t, !r.l.desk.shunned(&r.l.desk.board[0]), "all zones fail alike")
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -11,6 +11,7 @@
 type seat struct {
 	id       broker.NodeID
 	cell     int
+	zone     int
 	mode     mode
 	share    float64
 	downed   bool          // its connections broke
@@ -134,6 +135,7 @@
 // returned takes a sub-request that has ended off the books; the last result is nil where nobody waits for it.
 func (d *desk) returned(e *broker.Event) (*search, *part, *attempt) {
 	if at, known := d.l.byID[e.Node]; known {
+		d.weigh(&d.board[at], e)
 		d.unload(&d.board[at], d.l.now-e.Took)
 		d.l.post(&d.l.nodes[at].box, note{kind: ended, outcome: e.Outcome, took: e.Took})
 	}
@@ -265,6 +267,7 @@
 	lengths      []majority    // the usual length of a try, by type
 	short        bool          // of places
 	rates        []rate
+	zones        []zone
 	wary         []time.Duration // until when a tenant's searches send one part ahead
 	total        rate
 	asks         []time.Duration // rule 6: items taken and further sub-requests in the window
@@ -370,6 +373,12 @@
 	return float64(calls) / float64(max(1, usable))
 }
 
+// zone is how much of what goes to a data centre fails, as learned up to a time.
+type zone struct {
+	doubt float64
+	at    time.Duration
+}
+
 // find looks up what is still in hand under an id.
 func (d *desk) find(id uint64) (ref, bool) {
 	r, ok := d.refs[id]
@@ -399,6 +408,9 @@
 			b.share = n.share
 			d.chill(b)
 		}
+		if b.mode >= cold && n.mode == shut && !n.downed {
+			d.weigh(b, &broker.Event{Outcome: broker.TimedOut})
+		}
 		d.tally(b, -1)
 		if c := n.entry.Cell; c != b.cell || !slices.Contains(d.cells[c%d.l.t.Cells], n.node) {
 			old := &d.cells[b.cell%d.l.t.Cells]
@@ -441,7 +453,10 @@
 			l.byID[e.Node] = at
 			l.nodes = append(l.nodes, &node{l: l, at: at, id: e.Node, boot: broker.NoBoot, trusted: true, slow: 1})
 			l.nodes[at].box.to = l.nodes[at]
-			l.desk.board = append(l.desk.board, seat{id: e.Node, slow: 1, share: 1})
+			l.desk.board = append(l.desk.board, seat{id: e.Node, zone: e.Zone, slow: 1, share: 1})
+			for len(l.desk.zones) <= e.Zone {
+				l.desk.zones = append(l.desk.zones, zone{})
+			}
 		}
 		l.post(&l.nodes[at].box, note{kind: listed, entry: e})
 	}
