--- a/logic/logic.go
+++ b/logic/logic.go
@@ -20,54 +20,37 @@
 	copyQuantile = 0.95
 	capShare     = 0.1 // copies and resends together, as a share of parts
 	capDepth     = 30.0
-	samples      = 96    // latencies kept for the quantiles
-	redraw       = 16    // they are drawn anew after so many more
-	baseCreep    = 1.005 // the low point of p50 rises so fast with each new record
-	crowdMost    = 1.5   // usual latency over the low point of p50: above this, copies stop
+	samples      = 96 // latencies kept for the quantiles
+	redraw       = 16 // they are drawn anew after so many more
 	fewSamples   = 24
+	baseCreep    = 1.005                 // the low point of p50 rises so fast with each new record
+	crowdMost    = 1.5                   // usual latency over the low point of p50: above this, copies stop
 	poll         = 10 * time.Millisecond // a part held back is looked at again after this
-
-	placesShort  = 0.7 // above this share of the places, searches past their deadline are given up
-	silentFactor = 5.0 // silent: its calls have waited so many usual latencies, and none was answered
-	silentLeast  = 400 * time.Millisecond
-	silentMost   = 1500 * time.Millisecond
-	limpOn       = 2.5 // limping: its latency over the usual one
-	limpMost     = 10.0
-	limpStep     = 0.25 // weight of one latency
-	limpFade     = 5 * time.Second
-	limpVisits   = 2   // or so many usual gaps between the parts a node is sent
-	doubtStep    = 0.3 // weight of one outcome in a node's error share
-	doubtShut    = 0.45
-	doubtTrust   = 0.25
-	backoffFirst = 200 * time.Millisecond
-	darkPace     = 500 * time.Millisecond // a node of a set that is all distrusted gets a part so often
-	backoffMost  = 3 * time.Second
-	flapWithin   = 2 * time.Second // distrusted again so soon, it is tried ever rarer
-	coldSafety   = 0.6             // share of the cold rule's limit that is used
-	coldSpread   = 1.6             // and of the usual flow that its set may lend it
-
-	loadStep    = 0.1             // weight of one latency in the load model
-	loadFade    = 4 * time.Second // without news a set counts as usual again (else refusal never ends)
-	shedLow     = 0.5             // expected wait over time left: refusing starts here
-	shedHigh    = 0.75            // and is complete here
-	worthBias   = 0.2             // how strongly a search worth less a part than the mean is refused first
-	repeatSlack = 20 * time.Millisecond
-	lateWeight  = 4 // a search whose target has passed is refused as if it had so much less time
-	meanStep    = 0.02
-	overRate    = 1.3 // beyond its share: a tenant's rate over its portion of the usual
-	rateFast    = 3 * time.Second
-	rateSlow    = 20 * time.Second
-	askFirst    = 500 * time.Millisecond
-	askMost     = 4 * time.Second
-	scouts      = 2
-	wideShare   = 2.0
-	waryFor     = 30 * time.Second
-	zoneStep    = 0.1 // weight of one answer or failure in its zone's record
-	zoneBad     = 0.5
-	zoneFade    = 10 * time.Second
-	rumourMany  = 1.5 // a node that more peers than this call sick counts as limping
-	rumourFade  = 3 * time.Second
-	eps         = 5e-5
+	placesShort  = 0.7                   // of the places taken: searches past their deadline are given up
+
+	// A node is silent when its calls have waited so many usual latencies and none was answered.
+	silentFactor, silentLeast, silentMost = 5.0, 400 * time.Millisecond, 1500 * time.Millisecond
+	limpOn, limpMost                      = 2.5, 10.0                // limping: its latency over the usual one
+	limpStep, limpFade, limpVisits        = 0.25, 5 * time.Second, 2 // weight; memory, or in visits
+	doubtStep, doubtShut, doubtTrust      = 0.3, 0.45, 0.25          // a node's error share
+	backoffFirst, backoffMost             = 200 * time.Millisecond, 3 * time.Second
+	darkPace                              = 500 * time.Millisecond     // between parts where all are distrusted
+	flapWithin                            = 2 * time.Second            // distrusted so soon: tried rarer
+	rumourMany, rumourFade                = 1.5, 3 * time.Second       // sick by the word of so many
+	zoneStep, zoneBad, zoneFade           = 0.1, 0.5, 10 * time.Second // share of a zone's parts that fails
+	coldSafety, coldSpread                = 0.6, 1.6                   // of the rule's limit; of the usual flow
+
+	loadStep, loadFade  = 0.1, 4 * time.Second // weight of one latency in a set's record; its memory
+	shedLow, shedHigh   = 0.5, 0.75            // expected wait over time left: refusing starts and is complete
+	worthBias, meanStep = 0.2, 0.02            // how strongly a search worth less a part goes first
+	repeatSlack         = 20 * time.Millisecond
+	lateWeight          = 4   // a search whose target has passed is refused as if it had so much less time
+	overRate            = 1.3 // beyond its share: a tenant's rate over its portion of the usual
+	rateFast, rateSlow  = 3 * time.Second, 20 * time.Second
+	askFirst, askMost   = 500 * time.Millisecond, 4 * time.Second
+	scouts, wideShare   = 2, 2.0           // parts that go ahead; wide: so many times its parts are all nodes
+	waryFor             = 30 * time.Second // a tenant's searches send parts ahead for so long
+	eps                 = 5e-5
 )
 
 func (k *keeper) read(n *note) {
@@ -109,9 +92,8 @@
 	case unlisted:
 		n.ready = false
 	case rumour:
-		// Danger: of many brokers each meets a sick node by itself, and a node that is sick by turns for
-		// ever. Where several peers call it sick it is treated as limping, until an answer or time tells
-		// otherwise. False rumours cost it some traffic, for as long as they go on.
+		// Danger: each of many brokers meets a sick node by itself, each time anew. Where several peers call it
+		// sick it counts as limping, until it answers or time goes by. False rumours cost it some traffic.
 		if n.rumour = n.gossip(); k.sick {
 			n.rumour++
 		} else {
@@ -189,9 +171,7 @@
 }
 
 // faded is how much of what is known of the node's latency has gone stale since it was last looked at.
-func (n *node) faded() float64 {
-	return 1 - math.Exp(-float64(n.l.now-n.ticked)/float64(max(limpFade, limpVisits*n.gap)))
-}
+func (n *node) faded() float64 { return 1 - kept(n.l.now-n.ticked, max(limpFade, limpVisits*n.gap)) }
 
 // limp weighs a node's latency, or the age of its oldest part, against the usual one. Danger: a node several
 // times slower than its like (slow machine, busy neighbour, crowd sent by others) still looks idle to a
@@ -213,9 +193,7 @@
 }
 
 // gossip is how many peers lately called the node sick.
-func (n *node) gossip() float64 {
-	return n.rumour * math.Exp(-float64(n.l.now-n.heardOf)/float64(rumourFade))
-}
+func (n *node) gossip() float64 { return n.rumour * kept(n.l.now-n.heardOf, rumourFade) }
 
 // distrust sends a node no work but a lone part now and then, ever rarer while it fails.
 func (n *node) distrust(why string, figure float64) {
@@ -224,10 +202,9 @@
 		n.l.spread(factSick, n.id)
 		n.l.logf("%v shut: %s (%.2f)", n.id, why, figure)
 	}
-	switch {
-	case n.trusted && now-n.regained > flapWithin:
+	if n.trusted && now-n.regained > flapWithin {
 		n.backoff = backoffFirst
-	case n.trusted || n.trying:
+	} else if n.trusted || n.trying {
 		n.backoff = min(max(2*n.backoff, backoffFirst), backoffMost)
 	}
 	n.trusted, n.trying, n.until = false, false, now+n.backoff
@@ -238,9 +215,8 @@
 	k := note{kind: standing, node: n.at, mode: fit, share: 1, slow: n.slow, downed: n.downed}
 	t := n.l.t
 	if n.warming {
-		// Danger (rule 4): all brokers at once push a cold node over. Capacity grows no slower than evenly,
-		// and each broker keeps to a share of what it sends a like warm node, so their sum holds without
-		// agreement.
+		// Danger (rule 4): all brokers at once push a cold node over. Each keeps to a share of what it sends a
+		// like warm node, by a capacity that grows no slower than evenly: their sum holds without agreement.
 		age := n.l.now - n.since
 		if age >= t.WarmAfter {
 			n.warming = false
@@ -277,13 +253,11 @@
 }
 
 func (d *desk) take(e *broker.Event) {
-	l := d.l
-	if e.Type >= len(l.t.Types) {
-		l.logf("search of unknown type %d failed", e.Type)
+	l, s := d.l, d.admit(e)
+	if s == nil {
 		l.out = append(l.out, broker.Action{Kind: broker.Fail, ID: e.ID})
 		return
 	}
-	s := d.admit(e)
 	s.deadline = l.now + min(s.typ.Target, e.Left) - margin
 	s.last = l.now + e.Left - guardSteps*l.t.Step
 	// A repeat shorter than the usual try was cut by its client's timeout, which tells when it first asked.
@@ -321,7 +295,7 @@
 // heed teaches a set's record the latency of a sub-request to one of its nodes.
 func (d *desk) heed(a *attempt, took time.Duration) {
 	k := &d.slopes[d.board[a.node].cell%d.l.t.Cells]
-	step := max(loadStep, 1-math.Exp(-float64(d.l.now-k.at)/float64(loadFade)))
+	step := max(loadStep, 1-kept(d.l.now-k.at, loadFade))
 	k.of += step * (float64(took)/(a.load+1) - k.of)
 	k.took += step * (float64(took) - k.took)
 	k.at = d.l.now
@@ -337,9 +311,7 @@
 	d.base = min(d.p50, time.Duration(baseCreep*float64(d.base)))
 }
 
-func (d *desk) beWary(tenant int) {
-	d.wary[tenant%len(d.wary)] = d.l.now + waryFor
-}
+func (d *desk) beWary(tenant int) { d.wary[tenant%len(d.wary)] = d.l.now + waryFor }
 
 // giveUp sends the final answer of a search that can't be answered: a shed where that is true and allowed,
 // with the time to come back in; else a failure.
@@ -499,7 +471,7 @@
 // fresh is a latency learned up to a time; without news it is taken for the usual one again.
 func (d *desk) fresh(of float64, at time.Duration) float64 {
 	usual := float64(d.p50)
-	return usual + (of-usual)*math.Exp(-float64(d.l.now-at)/float64(loadFade))
+	return usual + (of-usual)*kept(d.l.now-at, loadFade)
 }
 
 // usual is the latency that a node is held against: the fleet's p50, or that of its like where that is longer
@@ -546,11 +518,7 @@
 func (d *desk) pick(s *search, p *part, first, again bool) int32 {
 	l, best, least, ties := d.l, int32(-1), 0.0, 0
 	bestShut := int32(-1)
-	d.holders = d.holders[:0]
-	for j := range l.t.Width {
-		d.holders = append(d.holders, d.cells[(p.shard+j)%l.t.Cells]...)
-	}
-	for _, i := range d.holders {
+	for _, i := range d.holding(p.shard) {
 		b := &d.board[i]
 		if b.mode == gone || b.share < 1 && !d.mayWarm(b) {
 			continue
@@ -589,39 +557,32 @@
 	return best
 }
 
-// weigh adds an outcome to the record of a node's zone. Danger: a data centre that can't
-// be reached, or is sick as a whole, would have to be found out node by node. While most of what goes to a
-// zone fails, and not so in another, its nodes count as limping. It may hurt where chance gathers the sick
-// nodes in one zone, until the others' answers clear it.
+// weigh adds an outcome to the record of a node's zone. Danger: a data centre that can't be reached, or is
+// sick as a whole, would have to be found out node by node. While most of what goes to a zone fails, and not
+// so in another, its nodes count as limping. It may hurt where chance gathers the sick nodes in one zone,
+// until the others' answers clear it.
 func (d *desk) weigh(b *seat, e *broker.Event) {
-	z, was, failed := &d.zones[b.zone], d.shunned(b), 1.0
-	switch e.Outcome {
-	case broker.OK:
-		failed = 0
-	case broker.ConnectFailed, broker.TimedOut:
-	default:
-		if e.Outcome != broker.Cancelled || e.Took < d.p95 {
-			return
-		}
+	z, was, failed := &d.zones[b.zone], d.shunned(b), 0.0
+	if e.Outcome == broker.ConnectFailed || e.Outcome == broker.TimedOut ||
+		e.Outcome == broker.Cancelled && e.Took >= d.p95 {
+		failed = 1
+	} else if e.Outcome != broker.OK {
+		return
 	}
-	z.doubt, z.at = d.doubt(b.zone), d.l.now
-	z.doubt += zoneStep * (failed - z.doubt)
+	z.doubt, z.at = d.doubt(z)*(1-zoneStep)+zoneStep*failed, d.l.now
 	if on := d.shunned(b); on != was {
 		d.l.logf("zone %d shunned %v: doubt %.2f", b.zone, on, z.doubt)
 	}
 }
 
-func (d *desk) doubt(zone int) float64 {
-	z := &d.zones[zone]
-	return z.doubt * math.Exp(-float64(d.l.now-z.at)/float64(zoneFade))
-}
+func (d *desk) doubt(z *zone) float64 { return z.doubt * kept(d.l.now-z.at, zoneFade) }
 
 func (d *desk) shunned(b *seat) bool {
 	least := 1.0
 	for i := range d.zones {
-		least = min(least, d.doubt(i))
+		least = min(least, d.doubt(&d.zones[i]))
 	}
-	doubt := d.doubt(b.zone)
+	doubt := d.doubt(&d.zones[b.zone])
 	return doubt > zoneBad && least < doubt/2
 }
 
@@ -698,8 +659,8 @@
 				continue
 			}
 			a := p.tries[len(p.tries)-1]
-			due := a.at + d.p95
-			if d.taken < fewSamples {
+			due, known := a.at+d.p95, d.taken >= fewSamples
+			if !known {
 				due = a.at + s.typ.Target/2
 			}
 			if due > l.now {
@@ -712,7 +673,7 @@
 			b := &d.board[a.node]
 			k := &d.slopes[b.cell%t.Cells]
 			crowded := max(float64(d.p50), d.fresh(k.took, k.at)) > crowdMost*float64(d.base)
-			if b.mode >= cold && crowded && d.taken >= fewSamples {
+			if b.mode >= cold && crowded && known {
 				d.next = min(d.next, l.now+poll)
 				continue
 			}
@@ -725,10 +686,7 @@
 			}
 		}
 		if at >= 0 && d.tokens >= 1 && l.now+time.Duration(d.wait(at)) <= s.deadline && d.inBudget() {
-			d.tokens--
-			if t.ExtraWindow > 0 {
-				d.extras = append(d.extras, l.now)
-			}
+			d.spend()
 			p.resent, p.copied = p.resent || p.live == 0, p.copied || p.live > 0
 			d.send(p, at)
 			continue
--- a/logic/state.go
+++ b/logic/state.go
@@ -80,10 +80,12 @@
 	at         time.Duration
 }
 
+// kept is the share of a record that is left after a time.
+func kept(after, memory time.Duration) float64 { return math.Exp(-float64(after) / float64(memory)) }
+
 func (r *rate) decay(now time.Duration) {
-	dt := float64(now - r.at)
-	r.fast *= math.Exp(-dt / float64(rateFast))
-	r.slow *= math.Exp(-dt / float64(rateSlow))
+	r.fast *= kept(now-r.at, rateFast)
+	r.slow *= kept(now-r.at, rateSlow)
 	r.at = now
 }
 
@@ -297,11 +299,15 @@
 // usual is the slow rate, scaled by the time it has run, as it began at nothing.
 func (r *rate) usual(now time.Duration) float64 {
 	r.decay(now)
-	return r.slow / (1 - math.Exp(-float64(max(1, now))/float64(rateSlow)))
+	return r.slow / (1 - kept(max(1, now), rateSlow))
 }
 
-// admit puts a new search in the slab.
+// admit puts a new search in the slab, unless its type is unknown.
 func (d *desk) admit(e *broker.Event) *search {
+	if e.Type >= len(d.l.t.Types) {
+		d.l.logf("search of unknown type %d failed", e.Type)
+		return nil
+	}
 	slot, now := d.place(), d.l.now
 	s := &d.slab[slot]
 	*s = search{gen: s.gen, id: e.ID, inUse: true, serial: e.Serial, typ: &d.l.t.Types[e.Type],
@@ -321,6 +327,14 @@
 	}
 }
 
+// spend books a further sub-request.
+func (d *desk) spend() {
+	d.tokens--
+	if d.l.t.ExtraWindow > 0 {
+		d.extras = append(d.extras, d.l.now)
+	}
+}
+
 func (d *desk) addPart(e *broker.Event) {
 	d.count()
 	for slot := range d.slab {
@@ -361,6 +375,15 @@
 	}
 }
 
+// holding lists the nodes that hold a shard, well or not.
+func (d *desk) holding(shard int) []int32 {
+	d.holders = d.holders[:0]
+	for j := range d.l.t.Width {
+		d.holders = append(d.holders, d.cells[(shard+j)%d.l.t.Cells]...)
+	}
+	return d.holders
+}
+
 // load is how many calls this broker has out at a usable node of the cell, on average.
 func (d *desk) load(cell int) float64 {
 	calls, usable := 0, 0
