Idle connections that are being cut are closed before a part is sent over them

Cause: something on the way cuts connections that idle for about 0.8 s. Told from dying nodes and from searches that bring nodes down by the tap: resets come within 3 ms, never on a connection used in the last 0.75 s (0 of 6169), two times in three above it, never twice in a row, and the count of resets a broker is the same whatever its traffic. Change: a broker that sees such resets closes a node's connections that idled as long before it sends over them, for 10 s. Also covers proxies and tables that drop idle flows. May hurt by handshakes where nodes die often.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -102,6 +102,7 @@
 	Answer                          // ID, Whole
 	Cancel                          // ID, Attempt
 	Wake                            // At
+	Close                           // Node: idle connections to it
 	Subscribe                       // ask for the list and its changes
 	Log                             // Text
 	Tell                            // Text: a message to all other brokers, which may be lost
@@ -154,8 +155,7 @@
 
 	Cancels       bool
 	SecondCopies  bool
-	RetryAfter    bool
-	MaxRetryAfter time.Duration
+	MaxRetryAfter time.Duration // 0: clients are not told when to come back
 	MaxAttempts   int
 	MaxOpen       int
 	AskList       bool
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -19,7 +19,7 @@
 			{Target: time.Second, Timeout: 3 * time.Second, Value: 1, LateShare: 0.1, Floor: 1, Need: 1},
 			{Target: 2 * time.Second, Timeout: 4 * time.Second, Value: 2, Floor: 0.5, Need: 1}},
 		Tenants: []broker.Tenant{{Portion: 0.7, Quota: 100}, {Portion: 0.3, Quota: 50}},
-		Cancels: true, SecondCopies: true, RetryAfter: true, MaxRetryAfter: time.Second,
+		Cancels: true, SecondCopies: true, MaxRetryAfter: time.Second,
 		MaxAttempts: 4, MaxOpen: 10000, ColdFrom: 0.3, WarmAfter: 8 * time.Second, FallMultiple: 2}
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -20,19 +20,18 @@
 	copyQuantile = 0.95
 	capShare     = 0.1 // copies and resends together, as a share of parts
 	capDepth     = 30.0
-	samples      = 96 // latencies kept for the quantiles
-	redraw       = 16 // they are drawn anew after so many more
-	fewSamples   = 24
+	samples      = 96                    // latencies kept for the quantiles
+	redraw       = 16                    // they are drawn anew after so many more
+	fewSamples   = 24                    // and not from fewer
 	baseCreep    = 1.005                 // the low point of p50 rises so fast with each new record
 	crowdMost    = 1.5                   // usual latency over the low point of p50: above this, copies stop
 	poll         = 10 * time.Millisecond // a part held back is looked at again after this
 	placesShort  = 0.7                   // of the places taken: searches past their deadline are given up
 
-	// A node is silent when its calls have waited so many usual latencies and none was answered.
-	silentFactor, silentLeast, silentMost = 5.0, 400 * time.Millisecond, 1500 * time.Millisecond
-	limpOn, limpMost                      = 2.5, 10.0                // limping: its latency over the usual one
-	limpStep, limpFade, limpVisits        = 0.25, 5 * time.Second, 2 // weight; memory, or in visits
-	doubtStep, doubtShut, doubtTrust      = 0.3, 0.45, 0.25          // a node's error share
+	silentFactor, silentLeast, silentMost = 5.0, 400 * time.Millisecond, 1500 * time.Millisecond // of waiting
+	limpOn, limpMost                      = 2.5, 10.0                                            // limping: its latency over the usual one
+	limpStep, limpFade, limpVisits        = 0.25, 5 * time.Second, 2                             // weight; memory, or in visits
+	doubtStep, doubtShut, doubtTrust      = 0.3, 0.45, 0.25                                      // a node's error share
 	backoffFirst, backoffMost             = 200 * time.Millisecond, 3 * time.Second
 	darkPace                              = 500 * time.Millisecond     // between parts where all are distrusted
 	flapWithin                            = 2 * time.Second            // distrusted so soon: tried rarer
@@ -40,6 +39,9 @@
 	zoneStep, zoneBad, zoneFade           = 0.1, 0.5, 10 * time.Second // share of a zone's parts that fails
 	coldSafety, coldSpread                = 0.6, 1.6                   // of the rule's limit; of the usual flow
 
+	cutStep, cutOn, cutQuick = 0.1, 0.25, 16 // share of parts after idling that break within 1/16 of p50
+	idleLeast, cutFor        = 200 * time.Millisecond, 10 * time.Second
+
 	loadStep, loadFade  = 0.1, 4 * time.Second // weight of one latency in a set's record; its memory
 	shedLow, shedHigh   = 0.5, 0.75            // expected wait over time left: refusing starts and is complete
 	worthBias, meanStep = 0.2, 0.02            // how strongly a search worth less a part goes first
@@ -55,25 +57,23 @@
 
 func (k *keeper) read(n *note) {
 	l := k.l
-	if n.kind == tick {
-		k.next = never
-		if l.t.AskList && !k.asked {
-			if k.next = k.due; l.now >= k.due {
-				k.asked, k.next = true, never
-				l.out = append(l.out, broker.Action{Kind: broker.Subscribe})
-			}
-		}
-		return
-	}
-	if n.ev.Kind == broker.ListFailed {
+	switch {
+	case n.kind == tick:
+		if k.next = never; l.t.AskList && !k.asked && l.now >= k.due {
+			k.asked = true
+			l.out = append(l.out, broker.Action{Kind: broker.Subscribe})
+		} else if l.t.AskList && !k.asked {
+			k.next = k.due
+		}
+	case n.ev.Kind == broker.ListFailed:
 		// Danger: every broker asking again in step keeps a jammed list service jammed.
 		k.asked = false
 		k.due = l.now + time.Duration((0.5+l.rand())*float64(k.backoff))
 		k.backoff = min(2*k.backoff, askMost)
-		return
+	default:
+		k.backoff = askFirst
+		k.merge(n.ev)
 	}
-	k.backoff = askFirst
-	k.merge(n.ev)
 }
 
 func (n *node) read(k *note) {
@@ -92,8 +92,8 @@
 	case unlisted:
 		n.ready = false
 	case rumour:
-		// Danger: each of many brokers meets a sick node by itself, each time anew. Where several peers call it
-		// sick it counts as limping, until it answers or time goes by. False rumours cost it some traffic.
+		// Danger: each of many brokers meets a sick node by itself, each time anew. Where several peers call
+		// it sick it counts as limping, until it answers or time goes by. False rumours cost it some traffic.
 		if n.rumour = n.gossip(); k.sick {
 			n.rumour++
 		} else {
@@ -178,11 +178,10 @@
 // broker with few parts out, and holds up every search that meets it. While it limps, each of its calls
 // counts as several. It may hurt for a moment after a pause: its late answers make it look slow.
 func (n *node) limp(k *note) {
-	now := n.l.now
 	if n.lat > k.limp {
 		n.lat -= time.Duration(n.faded() * float64(n.lat-k.limp))
 	}
-	n.ticked = now
+	n.ticked = n.l.now
 	ratio := min(limpMost, float64(max(n.lat, k.took))/float64(k.limp))
 	if n.slow = 1; ratio >= limpOn {
 		n.slow = math.Floor(ratio)
@@ -213,10 +212,10 @@
 // tell lets the desk know the node's mode.
 func (n *node) tell() {
 	k := note{kind: standing, node: n.at, mode: fit, share: 1, slow: n.slow, downed: n.downed}
-	t := n.l.t
-	if n.warming {
-		// Danger (rule 4): all brokers at once push a cold node over. Each keeps to a share of what it sends a
-		// like warm node, by a capacity that grows no slower than evenly: their sum holds without agreement.
+	if t := n.l.t; n.warming {
+		// Danger (rule 4): all brokers at once push a cold node over. Each keeps to a share of what it sends
+		// a like warm node, by a capacity that grows no slower than evenly: their sum holds without
+		// agreement.
 		age := n.l.now - n.since
 		if age >= t.WarmAfter {
 			n.warming = false
@@ -255,7 +254,6 @@
 func (d *desk) take(e *broker.Event) {
 	l, s := d.l, d.admit(e)
 	if s == nil {
-		l.out = append(l.out, broker.Action{Kind: broker.Fail, ID: e.ID})
 		return
 	}
 	s.deadline = l.now + min(s.typ.Target, e.Left) - margin
@@ -272,6 +270,7 @@
 	if a == nil {
 		return
 	}
+	d.stale(a, e)
 	switch e.Outcome {
 	case broker.OK:
 		if p.done {
@@ -292,6 +291,26 @@
 	}
 }
 
+// stale learns of connections that are cut while they idle. Danger: the next part to a node breaks at once,
+// and a broker with little traffic loses most parts so. Then connections that idled for as long are closed
+// before a part is sent, for a while. It may hurt where nodes die often: it costs handshakes.
+func (d *desk) stale(a *attempt, e *broker.Event) {
+	switch {
+	case a.idle < idleLeast:
+	case e.Outcome == broker.OK:
+		d.cut -= cutStep * d.cut
+	case e.Outcome == broker.Reset && e.Took < d.p50/cutQuick:
+		if d.cut += cutStep * (1 - d.cut); d.cut < 2*cutStep {
+			d.idleMost = a.idle // what came before is long ago
+		}
+		d.idleMost = min(d.idleMost, a.idle)
+		if d.cut > cutOn && d.l.now >= d.cutUntil {
+			d.cutUntil = d.l.now + cutFor
+			d.l.logf("idle connections are cut: %.2f broke after %v or more", d.cut, d.idleMost)
+		}
+	}
+}
+
 // heed teaches a set's record the latency of a sub-request to one of its nodes.
 func (d *desk) heed(a *attempt, took time.Duration) {
 	k := &d.slopes[d.board[a.node].cell%d.l.t.Cells]
@@ -303,12 +322,10 @@
 
 // record keeps a latency and, now and then, draws the quantiles anew.
 func (d *desk) record(took time.Duration) {
-	s := d.keep(took)
-	if len(s) < fewSamples {
-		return
+	if s := d.keep(took); len(s) >= fewSamples {
+		d.p50, d.p95 = s[len(s)/2], s[int(copyQuantile*float64(len(s)))]
+		d.base = min(d.p50, time.Duration(baseCreep*float64(d.base)))
 	}
-	d.p50, d.p95 = s[len(s)/2], s[int(copyQuantile*float64(len(s)))]
-	d.base = min(d.p50, time.Duration(baseCreep*float64(d.base)))
 }
 
 func (d *desk) beWary(tenant int) { d.wary[tenant%len(d.wary)] = d.l.now + waryFor }
@@ -326,9 +343,7 @@
 	}
 	if (s.untouched() || s.typ.Effect == broker.Idempotent) && l.now < s.last {
 		act.Kind = broker.Shed
-		if l.t.RetryAfter {
-			act.After = time.Duration((0.5 + 0.5*l.rand()) * float64(l.t.MaxRetryAfter))
-		}
+		act.After = time.Duration((0.5 + 0.5*l.rand()) * float64(l.t.MaxRetryAfter))
 	}
 	l.out = append(l.out, act)
 	d.drop(slot)
@@ -339,12 +354,10 @@
 	d.next = never
 	d.short = float64(d.open()) > placesShort*float64(d.l.t.MaxOpen)
 	for slot := range d.slab {
-		if s := &d.slab[slot]; s.inUse && s.sent {
+		s := &d.slab[slot]
+		if s.inUse && s.sent {
 			d.settle(int32(slot))
 		}
-	}
-	for slot := range d.slab {
-		s := &d.slab[slot]
 		if !s.inUse {
 			continue
 		}
@@ -558,9 +571,8 @@
 }
 
 // weigh adds an outcome to the record of a node's zone. Danger: a data centre that can't be reached, or is
-// sick as a whole, would have to be found out node by node. While most of what goes to a zone fails, and not
-// so in another, its nodes count as limping. It may hurt where chance gathers the sick nodes in one zone,
-// until the others' answers clear it.
+// sick as a whole, would have to be found out node by node. While most of what goes to it fails, and not so
+// in another, its nodes count as limping. It may hurt where chance gathers the sick nodes in one zone.
 func (d *desk) weigh(b *seat, e *broker.Event) {
 	z, was, failed := &d.zones[b.zone], d.shunned(b), 0.0
 	if e.Outcome == broker.ConnectFailed || e.Outcome == broker.TimedOut ||
@@ -587,9 +599,8 @@
 }
 
 // mayWarm tells whether a cold node may be sent a part. Its ration grows by its share of what a like warm
-// node is sent: now, in its own set, or usually, on average (a jam that lacks the cold nodes must not starve
-// them), and no more than coldSpread of the usual, as a set short of nodes may be sent more than it can do.
-// Before anything is known: when none is out, at its pace.
+// node is sent: now, in its own set, or usually, on average (a jam must not starve it), and no more than
+// coldSpread of the usual, as a set short of nodes is sent too much. With none out: at its pace.
 func (d *desk) mayWarm(b *seat) bool {
 	now := d.l.now
 	usual, own := d.flow.usual(now), &d.flows[b.cell%d.l.t.Cells]
@@ -621,7 +632,10 @@
 		d.flow.add(l.now, 1/float64(d.warm))
 		d.flows[b.cell%l.t.Cells].add(l.now, 1/float64(d.warms[b.cell%l.t.Cells]))
 	}
-	d.book(p, at)
+	if idle := d.book(p, at); idle >= d.idleMost && l.now < d.cutUntil {
+		l.out = append(l.out, broker.Action{Kind: broker.Close, Node: b.id})
+		p.tries[len(p.tries)-1].idle = 0
+	}
 	l.out = append(l.out, broker.Action{Kind: broker.Send, ID: p.id, Node: b.id})
 	l.post(&l.nodes[at].box, note{kind: sent})
 }
@@ -663,10 +677,6 @@
 			if !known {
 				due = a.at + s.typ.Target/2
 			}
-			if due > l.now {
-				d.next = min(d.next, due)
-				continue
-			}
 			// Danger: copies made while a whole set, or everything, is slow join the crowd they flee from and
 			// keep a jam alive. Then only parts held by a distrusted node are copied. It may hurt where half
 			// the nodes of a set turn slow.
@@ -674,7 +684,10 @@
 			k := &d.slopes[b.cell%t.Cells]
 			crowded := max(float64(d.p50), d.fresh(k.took, k.at)) > crowdMost*float64(d.base)
 			if b.mode >= cold && crowded && known {
-				d.next = min(d.next, l.now+poll)
+				due = max(due, l.now+poll)
+			}
+			if due > l.now {
+				d.next = min(d.next, due)
 				continue
 			}
 		}
@@ -697,22 +710,15 @@
 
 // mayRepeat tells whether a part whose sub-requests have all ended may be sent again (rule 2).
 func (d *desk) mayRepeat(s *search, p *part) bool {
-	switch s.typ.Effect {
-	case broker.Idempotent:
-		return true
-	case broker.Tokened:
-		return !p.mayRun || d.l.now <= p.firstRisk+s.typ.Window
-	}
-	return !p.mayRun
+	effect, inWindow := s.typ.Effect, d.l.now <= p.firstRisk+s.typ.Window
+	return !p.mayRun || effect == broker.Idempotent || effect == broker.Tokened && inWindow
 }
 
 // inBudget keeps rule 6: further sub-requests in the window, this one included.
 func (d *desk) inBudget() bool {
 	t := d.l.t
-	if t.ExtraWindow == 0 {
-		return true
-	}
 	bound := d.l.now - t.ExtraWindow
 	d.asks, d.extras = trim(d.asks, bound), trim(d.extras, bound-t.Step)
-	return float64(len(d.extras)+1) <= t.ExtraFloor+t.ExtraShare*float64(len(d.asks))
+	most := t.ExtraFloor + t.ExtraShare*float64(len(d.asks))
+	return t.ExtraWindow == 0 || float64(len(d.extras)+1) <= most
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -344,3 +344,29 @@
 	r.l.desk.zones[0] = zone{doubt: 0.9, at: r.now}
 	must(t, !r.l.desk.shunned(&r.l.desk.board[0]), "all zones fail alike")
 }
+
+// Connections that were cut while idle break the next part at once; then they are closed before use (incident
+// i4568cc).
+func TestIdleConnectionsCut(t *testing.T) {
+	r := newRig(smallTerms(), 6)
+	closed, broke := map[broker.NodeID]bool{}, 0
+	for i := range 60 {
+		r.ask(0, 3*time.Second, 0, 1)
+		for range 3 {
+			for _, a := range r.step(2 * ms) {
+				if a.Kind == broker.Close {
+					closed[a.Node] = true
+				}
+				if k := (try{a.ID, 0}); a.Kind == broker.Send && i > 10 && r.parts[a.ID].tries == 1 && !closed[a.Node] {
+					r.end(k, broker.Reset)
+					broke += i / 31
+				}
+			}
+			clear(closed)
+		}
+		r.step(50 * ms)
+		r.endWhere(broker.OK, 0, nil)
+		r.step(time.Second)
+	}
+	must(t, broke < 29 && r.bad == "", "%d parts of 58 broke after it was known: %s", broke, r.bad)
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -19,7 +19,8 @@
 	ration   float64       // parts a cold node may be sent now
 	rationed time.Duration // when it last grew
 	last     time.Duration
-	calls    []call // out, oldest first
+	talked   time.Duration // when something last passed between here and it
+	calls    []call        // out, oldest first
 }
 
 type call struct {
@@ -32,6 +33,7 @@
 	live bool
 	at   time.Duration
 	load float64
+	idle time.Duration // how long nothing passed between here and the node before
 }
 
 type part struct {
@@ -138,6 +140,7 @@
 func (d *desk) returned(e *broker.Event) (*search, *part, *attempt) {
 	if at, known := d.l.byID[e.Node]; known {
 		d.weigh(&d.board[at], e)
+		d.board[at].talked = d.l.now
 		d.unload(&d.board[at], d.l.now-e.Took)
 		d.l.post(&d.l.nodes[at].box, note{kind: ended, outcome: e.Outcome, took: e.Took})
 	}
@@ -156,10 +159,15 @@
 	return s, p, a
 }
 
-// book puts a sub-request on the books; sends of one turn to one node share a call.
-func (d *desk) book(p *part, at int32) {
+// book puts a sub-request on the books and tells how long the node's connections idled; sends of one turn to one node share a call.
+func (d *desk) book(p *part, at int32) time.Duration {
 	b, now := &d.board[at], d.l.now
-	p.tries = append(p.tries, attempt{node: at, live: true, at: now, load: d.load(b.cell)})
+	idle := time.Duration(0)
+	if len(b.calls) == 0 && b.talked > 0 {
+		idle = now - b.talked
+	}
+	b.talked = now
+	p.tries = append(p.tries, attempt{node: at, live: true, at: now, load: d.load(b.cell), idle: idle})
 	p.live++
 	if n := len(b.calls); n > 0 && b.calls[n-1].at == now && b.calls[n-1].parts < d.l.t.BatchParts {
 		b.calls[n-1].parts++
@@ -167,6 +175,7 @@
 		b.calls = append(b.calls, call{now, 1})
 	}
 	b.last = now
+	return idle
 }
 
 // unload takes one part off the call that was sent at that time, or off the one sent nearest to it.
@@ -270,6 +279,9 @@
 	short        bool          // of places
 	rates        []rate
 	zones        []zone
+	cut          float64         // share of parts after idle connections that broke at once
+	cutUntil     time.Duration   // idle connections are closed before use until then
+	idleMost     time.Duration   // those that idled for so long
 	wary         []time.Duration // until when a tenant's searches send one part ahead
 	total        rate
 	asks         []time.Duration // rule 6: items taken and further sub-requests in the window
@@ -279,7 +291,7 @@
 
 // lay makes room for what the terms list.
 func (d *desk) lay(l *Logic) {
-	d.l, d.box.to, d.next = l, d, never
+	d.l, d.box.to, d.next, d.idleMost = l, d, never, never
 	d.refs = map[uint64]ref{}
 	d.lengths = make([]majority, len(l.t.Types))
 	d.flows = make([]rate, l.t.Cells)
@@ -302,10 +314,11 @@
 	return r.slow / (1 - kept(max(1, now), rateSlow))
 }
 
-// admit puts a new search in the slab, unless its type is unknown.
+// admit puts a new search in the slab; one of an unknown type is failed.
 func (d *desk) admit(e *broker.Event) *search {
 	if e.Type >= len(d.l.t.Types) {
 		d.l.logf("search of unknown type %d failed", e.Type)
+		d.l.out = append(d.l.out, broker.Action{Kind: broker.Fail, ID: e.ID})
 		return nil
 	}
 	slot, now := d.place(), d.l.now
--- a/simwire/host.go
+++ b/simwire/host.go
@@ -28,7 +28,7 @@
 	evSelect                                                       = 12
 
 	acSend, acShed, acFailure, acAbandon, acTimer = 1, 2, 3, 4, 5
-	acTell                                        = 8
+	acLetGo, acTell                               = 7, 8
 	acEmit, acKeepInformed, acRespond, acOnBehalf = 9, 11, 13, 14
 
 	listDelta, listFailed, listFull, listCached = 1, 2, 3, 4
@@ -324,6 +324,10 @@
 		be.PutUint16(r[9:], a.Attempt)
 	case broker.Wake:
 		be.PutUint64(h.record(acTimer)[1:], b.start+uint64(max(0, a.At)))
+	case broker.Close:
+		r := h.record(acLetGo)
+		copy(r[1:], a.Node.Addr[:])
+		be.PutUint16(r[5:], a.Node.Port)
 	case broker.Subscribe:
 		h.record(acKeepInformed)[1] = 1
 	case broker.Log:
--- a/simwire/setup.go
+++ b/simwire/setup.go
@@ -132,7 +132,6 @@
 
 		Cancels:       p.flag("permissions.cancel"),
 		SecondCopies:  p.flag("permissions.secondCopies"),
-		RetryAfter:    p.flag("permissions.retryAfter"),
 		MaxRetryAfter: p.span("permissions.maxRetryAfterNs", false),
 		MaxAttempts:   p.count("permissions.maxAttempts", true, 0),
 		MaxOpen:       p.count("permissions.maxOpen", false, math.MaxInt32),
@@ -145,6 +144,9 @@
 		ExtraShare:  p.num("safety.furtherRatio", false, 0),
 		ExtraWindow: p.span("safety.lookBackNs", false),
 	}
+	if !p.flag("permissions.retryAfter") {
+		t.MaxRetryAfter = 0
+	}
 	if t.Cells < 1 || t.Width < 1 || t.Width > t.Cells {
 		p.fail("domain.width", "%d of %d cells", t.Width, t.Cells)
 	}
