A node's last latency counts in full, for four visits, and limping starts at twice the usual

A broker meets a node every 8 to 13 s and gave each answer a quarter of the weight, so two or three visits went by before it counted. May hurt: one late answer after a pause turns a node away for a while; with two holders it keeps half its share.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,8 +29,8 @@
 	placesShort  = 0.7                   // of the places taken: searches past their deadline are given up
 
 	silentFactor, silentLeast, silentMost = 5.0, 400 * time.Millisecond, 1500 * time.Millisecond // of waiting
-	limpOn, limpMost                      = 2.5, 10.0                                            // limping: its latency over the usual one
-	limpStep, limpFade, limpVisits        = 0.25, 5 * time.Second, 2                             // weight; memory, or in visits
+	limpOn, limpMost                      = 2.0, 10.0                                            // limping: its latency over the usual one
+	limpFade, limpVisits                  = 5 * time.Second, 4                                   // memory, or in usual gaps between its parts
 	doubtStep, doubtShut, doubtTrust      = 0.3, 0.45, 0.25                                      // a node's error share
 	backoffFirst, backoffMost             = 200 * time.Millisecond, 3 * time.Second
 	darkPace                              = 500 * time.Millisecond     // between parts where all are distrusted
@@ -161,14 +161,8 @@
 	}
 }
 
-// learn weighs a latency by the time since the last, as a broker may meet a node once in many seconds.
-func (n *node) learn(took time.Duration) {
-	if n.lat == 0 {
-		n.lat = took
-	}
-	n.lat += time.Duration(max(limpStep, n.faded()) * float64(took-n.lat))
-	n.ticked = n.l.now
-}
+// learn takes the last latency for the node's: a broker may not meet it again for many seconds.
+func (n *node) learn(took time.Duration) { n.lat, n.ticked = took, n.l.now }
 
 // faded is how much of what is known of the node's latency has gone stale since it was last looked at.
 func (n *node) faded() float64 { return 1 - kept(n.l.now-n.ticked, max(limpFade, limpVisits*n.gap)) }
