Parts lost without a word over idle connections count as cut ones, held against fresh ones

Symptom: two nodes in three seem to lose half of their parts. Cause: connections that idle for about a second are cut without a word. Told from nodes that lose parts by the tap: of one broker and node the part after a pause of a second is lost, the next, over a new connection, answered; sends while one is stuck are lost too (98%). Change: a part called off past p95 counts as a reset did, and fresh connections must fail half as often at the most; heeded for 20 s.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,10 +28,10 @@
 	poll         = 10 * time.Millisecond // a part held back is looked at again after this
 	placesShort  = 0.7                   // of the places taken: searches past their deadline are given up
 
-	silentFactor, silentLeast, silentMost = 5.0, 400 * time.Millisecond, 1500 * time.Millisecond // of waiting
-	limpOn, limpMost                      = 2.0, 10.0                                            // limping: its latency over the usual one
-	limpFade, limpVisits                  = 5 * time.Second, 4                                   // memory, or in usual gaps between its parts
-	doubtStep, doubtShut, doubtTrust      = 0.3, 0.45, 0.25                                      // a node's error share
+	silentFactor, silentLeast, silentMost = 5.0, 400 * time.Millisecond, 1500 * time.Millisecond
+	limpOn, limpMost                      = 2.0, 10.0          // limping: latency over the usual
+	limpFade, limpVisits                  = 5 * time.Second, 4 // memory; or usual gaps
+	doubtStep, doubtShut, doubtTrust      = 0.3, 0.45, 0.25    // a node's error share
 	backoffFirst, backoffMost             = 200 * time.Millisecond, 3 * time.Second
 	darkPace                              = 500 * time.Millisecond     // between parts where all are distrusted
 	flapWithin                            = 2 * time.Second            // distrusted so soon: tried rarer
@@ -39,8 +39,9 @@
 	zoneStep, zoneBad, zoneFade           = 0.1, 0.5, 10 * time.Second // share of a zone's parts that fails
 	coldSafety, coldSpread                = 0.6, 1.6                   // of the rule's limit; of the usual flow
 
-	cutStep, cutOn, cutQuick = 0.1, 0.25, 16 // share of parts after idling that break within 1/16 of p50
-	idleLeast, cutFor        = 200 * time.Millisecond, 10 * time.Second
+	cutMore                  = 2.0           // and more often than over fresh ones
+	cutStep, cutOn, cutQuick = 0.1, 0.35, 16 // share of parts after idling that break within 1/16 of p50
+	idleLeast, cutFor        = 200 * time.Millisecond, 20 * time.Second
 
 	loadStep, loadFade  = 0.1, 4 * time.Second // weight of one latency in a set's record; its memory
 	shedLow, shedHigh   = 0.5, 0.75            // expected wait over time left: refusing starts and is complete
@@ -264,9 +265,9 @@
 	if a == nil {
 		return
 	}
-	d.stale(a, e)
 	switch e.Outcome {
 	case broker.OK:
+		d.stale(a, 0)
 		if p.done {
 			return
 		}
@@ -280,28 +281,32 @@
 	default:
 		p.risk(a.at)
 		if e.Outcome == broker.Reset {
-			s.broke++
+			if s.broke++; e.Took < d.p50/cutQuick {
+				d.stale(a, 1)
+			}
 		}
 	}
 }
 
-// stale learns of connections that are cut while they idle. Danger: the next part to a node breaks at once,
-// and a broker with little traffic loses most parts so. Then connections that idled for as long are closed
-// before a part is sent, for a while. It may hurt where nodes die often: it costs handshakes.
-func (d *desk) stale(a *attempt, e *broker.Event) {
-	switch {
-	case a.idle < idleLeast:
-	case e.Outcome == broker.OK:
-		d.cut -= cutStep * d.cut
-	case e.Outcome == broker.Reset && e.Took < d.p50/cutQuick:
-		if d.cut += cutStep * (1 - d.cut); d.cut < 2*cutStep {
-			d.idleMost = a.idle // what came before is long ago
-		}
-		d.idleMost = min(d.idleMost, a.idle)
-		if d.cut > cutOn && d.l.now >= d.cutUntil {
-			d.cutUntil = d.l.now + cutFor
-			d.l.logf("idle connections are cut: %.2f broke after %v or more", d.cut, d.idleMost)
-		}
+// stale learns of connections that are cut while they idle. Danger: the next part to a node breaks or is lost
+// without a word, and a broker with little traffic loses most parts so. While parts over connections that
+// idled fail far more often than over fresh ones, connections that idled as long are closed before a part is
+// sent. It may hurt by handshakes where sick nodes are met seldom; the fresh ones then fail alike and end it.
+func (d *desk) stale(a *attempt, failed float64) {
+	if a.idle < idleLeast {
+		d.fail += cutStep * (failed - d.fail)
+		return
+	}
+	if d.cut += cutStep * (failed - d.cut); failed == 0 {
+		return
+	}
+	if d.cut < 2*cutStep {
+		d.idleMost = a.idle // what came before is long ago
+	}
+	d.idleMost = min(d.idleMost, a.idle)
+	if d.cut > cutOn && d.cut > cutMore*d.fail && d.l.now >= d.cutUntil {
+		d.cutUntil = d.l.now + cutFor
+		d.l.logf("idle connections are cut: %.2f failed after %v or more, %.2f of fresh", d.cut, d.idleMost, d.fail)
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -104,7 +104,8 @@
 
 // untouched tells whether no part of the search can have run.
 func (s *search) untouched() bool {
-	return !s.stage2 && !slices.ContainsFunc(s.parts, func(p part) bool { return p.live > 0 || p.mayRun || p.done })
+	ran := func(p part) bool { return p.live > 0 || p.mayRun || p.done }
+	return !s.stage2 && !slices.ContainsFunc(s.parts, ran)
 }
 
 // open is the weight of the parts that may still come.
@@ -136,7 +137,8 @@
 	}
 }
 
-// returned takes a sub-request that has ended off the books; the last result is nil where nobody waits for it.
+// returned takes a sub-request that has ended off the books; the last result is nil where nobody waits for
+// it.
 func (d *desk) returned(e *broker.Event) (*search, *part, *attempt) {
 	if at, known := d.l.byID[e.Node]; known {
 		d.weigh(&d.board[at], e)
@@ -159,7 +161,8 @@
 	return s, p, a
 }
 
-// book puts a sub-request on the books and tells how long the node's connections idled; sends of one turn to one node share a call.
+// book puts a sub-request on the books and tells how long the node's connections idled; sends of one turn to
+// one node share a call.
 func (d *desk) book(p *part, at int32) time.Duration {
 	b, now := &d.board[at], d.l.now
 	idle := time.Duration(0)
@@ -279,7 +282,7 @@
 	short        bool          // of places
 	rates        []rate
 	zones        []zone
-	cut          float64         // share of parts after idle connections that broke at once
+	cut, fail    float64         // share of parts that fail over connections that idled, and over others
 	cutUntil     time.Duration   // idle connections are closed before use until then
 	idleMost     time.Duration   // those that idled for so long
 	wary         []time.Duration // until when a tenant's searches send one part ahead
@@ -377,7 +380,11 @@
 		a.live = false
 		p.live--
 		p.risk(a.at)
-		if age := d.l.now - a.at; p.done {
+		age := d.l.now - a.at
+		if age > d.p95 {
+			d.stale(a, 1)
+		}
+		if p.done {
 			d.record(age)
 		} else if float64(age) > d.slopes[d.board[a.node].cell%d.l.t.Cells].took {
 			d.heed(a, age) // what never came would have taken longer still
