--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,8 +39,8 @@
 	zoneStep, zoneBad, zoneFade           = 0.1, 0.5, 10 * time.Second // share of a zone's parts that fails
 	coldSafety, coldSpread                = 0.6, 1.6                   // of the rule's limit; of the usual flow
 
-	cutMore                  = 2.0           // and more often than over fresh ones
-	cutStep, cutOn, cutQuick = 0.1, 0.35, 16 // share of parts after idling that break within 1/16 of p50
+	cutMore                  = 4.0           // and more often than over fresh ones
+	cutStep, cutOn, cutQuick = 0.05, 0.3, 16 // share of parts after idling that break within 1/16 of p50
 	idleLeast, cutFor        = 200 * time.Millisecond, 20 * time.Second
 
 	loadStep, loadFade  = 0.1, 4 * time.Second // weight of one latency in a set's record; its memory
