A distrusted node is tried again no sooner than its usual gap between parts

Cause: a broker that sends a node a part every 10 s found it due for a trial each time (0.2 to 3 s had passed), so dead nodes kept the same share as sound ones; told from new deaths by the same nodes failing at each broker again. Covers errors, refusals and silence alike. May hurt: a node that is well again waits up to one usual gap of each broker.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -106,7 +106,7 @@
 	case sent:
 		if !n.trusted {
 			if n.trying { // the trial before this one was never answered
-				n.backoff = min(2*n.backoff, backoffMost)
+				n.backoff = max(n.gap, min(2*n.backoff, backoffMost))
 			}
 			n.until, n.trying = now+n.backoff, true
 		}
@@ -197,9 +197,9 @@
 		n.l.logf("%v shut: %s (%.2f)", n.id, why, figure)
 	}
 	if n.trusted && now-n.regained > flapWithin {
-		n.backoff = backoffFirst
+		n.backoff = max(backoffFirst, n.gap) // else a broker with little traffic tries it with each part
 	} else if n.trusted || n.trying {
-		n.backoff = min(max(2*n.backoff, backoffFirst), backoffMost)
+		n.backoff = max(n.gap, min(max(2*n.backoff, backoffFirst), backoffMost))
 	}
 	n.trusted, n.trying, n.until = false, false, now+n.backoff
 }
