A zone's record fades in 20 s instead of 10

Cause: the record fell under its bound every 5 s, and each time the parts of 0.6 s went to the lost zone before it was shunned again. The allocation test now has 240 nodes.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,7 +37,7 @@
 	darkPace, flapWithin = 500 * time.Millisecond, 2 * time.Second // where all are shut; shut anew
 
 	rumourMany, rumourFade      = 1.5, 3 * time.Second       // sick by the word of so many
-	zoneStep, zoneBad, zoneFade = 0.1, 0.5, 10 * time.Second // share of a zone's parts that fails
+	zoneStep, zoneBad, zoneFade = 0.1, 0.5, 20 * time.Second // share of a zone's parts that fails
 	coldSafety, coldSpread      = 0.6, 1.6                   // of the rule's limit; of the usual flow
 
 	cutMore                  = 4.0           // and more often than over fresh ones
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -298,7 +298,7 @@
 }
 
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
-	l, actions, now := newRig(smallTerms(), 6).l, make([]broker.Action, 0, 16), time.Duration(0)
+	l, actions, now := newRig(smallTerms(), 240).l, make([]broker.Action, 0, 16), time.Duration(0)
 	in := []broker.Event{{Kind: broker.SearchIn, ID: 1, Left: time.Second, Weight: 1},
 		{Kind: broker.PartIn, Weight: 1}}
 	back := []broker.Event{{Kind: broker.Ended, Outcome: broker.OK, Took: 50 * ms}}
