--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,17 +44,16 @@
 	cutStep, cutOn, cutQuick = 0.05, 0.3, 16 // share of parts after idling that break within 1/16 of p50
 	idleLeast, cutFor        = 200 * time.Millisecond, 20 * time.Second
 
-	loadStep, loadFade  = 0.1, 4 * time.Second // weight of one latency in a set's record; its memory
-	shedLow, shedHigh   = 0.5, 0.75            // expected wait over time left: refusing starts and is complete
-	worthBias, meanStep = 0.2, 0.02            // how strongly a search worth less a part goes first
-	repeatSlack         = 20 * time.Millisecond
-	lateWeight          = 4   // a search whose target has passed is refused as if it had so much less time
-	overRate            = 1.3 // beyond its share: a tenant's rate over its portion of the usual
-	rateFast, rateSlow  = 3 * time.Second, 20 * time.Second
-	askFirst, askMost   = 500 * time.Millisecond, 4 * time.Second
-	scouts, wideShare   = 2, 2.0           // parts that go ahead; wide: so many times its parts are all nodes
-	waryFor             = 30 * time.Second // a tenant's searches send parts ahead for so long
-	eps                 = 5e-5
+	loadStep, loadFade   = 0.1, 4 * time.Second // weight of one latency in a set's record; its memory
+	shedLow, shedHigh    = 0.5, 0.75            // expected wait over time left: refusing starts and is complete
+	worthBias, meanStep  = 0.2, 0.02            // how strongly a search worth less a part goes first
+	repeatSlack          = 20 * time.Millisecond
+	lateWeight, overRate = 4, 1.3 // a late search has so much less time; beyond its share: over the usual
+	rateFast, rateSlow   = 3 * time.Second, 20 * time.Second
+	askFirst, askMost    = 500 * time.Millisecond, 4 * time.Second
+	scouts, wideShare    = 2, 2.0           // parts that go ahead; wide: so many times its parts are all nodes
+	waryFor              = 30 * time.Second // a tenant's searches send parts ahead for so long
+	eps                  = 5e-5
 )
 
 func (k *keeper) read(n *note) {
@@ -114,9 +113,8 @@
 	case ended:
 		n.ended(k)
 	case tick:
-		// Danger: a node that takes parts and answers none (hung, stalled, cut off one way, or silent for any
-		// other reason): since it was last heard its calls together have waited several times what is usual.
-		// It may hurt when a whole fleet stops at once; then the least busy still get a little.
+		// Danger: a node that takes parts and answers none, for any reason: since it was last heard its calls
+		// together have waited several times what is usual. It may hurt when a whole fleet stops at once.
 		wait := min(k.took, now-n.heard)
 		n.unheard += time.Duration(k.calls) * min(now-n.ticked, wait)
 		exposed := wait > silentLeast && float64(n.unheard) > silentFactor*float64(k.limp)
@@ -170,9 +168,8 @@
 func (n *node) faded() float64 { return 1 - kept(n.l.now-n.ticked, max(limpFade, limpVisits*n.gap)) }
 
 // limp weighs a node's latency, or the age of its oldest part, against the usual one. Danger: a node several
-// times slower than its like (slow machine, busy neighbour, crowd sent by others) still looks idle to a
-// broker with few parts out, and holds up every search that meets it. While it limps, each of its calls
-// counts as several. It may hurt for a moment after a pause: its late answers make it look slow.
+// times slower than its like looks idle to a broker with few parts out, and holds up every search that meets
+// it. While it limps, each of its calls counts as several. It may hurt for a moment after a pause.
 func (n *node) limp(k *note) {
 	if n.lat > k.limp {
 		n.lat -= time.Duration(n.faded() * float64(n.lat-k.limp))
@@ -289,10 +286,9 @@
 	}
 }
 
-// stale learns of connections that are cut while they idle. Danger: the next part to a node breaks or is lost
-// without a word, and a broker with little traffic loses most parts so. While parts over connections that
-// idled fail far more often than over fresh ones, connections that idled as long are closed before a part is
-// sent. It may hurt by handshakes where sick nodes are met seldom; the fresh ones then fail alike and end it.
+// stale learns of connections cut while they idle. Danger: the next part breaks or is lost without a word, and a
+// broker with little traffic loses most so. While parts over connections that idled fail far more often than
+// over fresh ones, such connections are closed before use. It may hurt by handshakes for other causes.
 func (d *desk) stale(a *attempt, failed float64) {
 	if a.idle < idleLeast {
 		d.fail += cutStep * (failed - d.fail)
@@ -320,6 +316,19 @@
 	k.at = d.l.now
 }
 
+// lost learns from a sub-request called off: it would have taken longer still than its age.
+func (d *desk) lost(p *part, a *attempt) {
+	age := d.l.now - a.at
+	if age > d.p95 {
+		d.stale(a, 1)
+	}
+	if p.done {
+		d.record(age)
+	} else if float64(age) > d.slopes[d.board[a.node].cell%d.l.t.Cells].took {
+		d.heed(a, age)
+	}
+}
+
 // record keeps a latency and, now and then, draws the quantiles anew.
 func (d *desk) record(took time.Duration) {
 	if s := d.keep(took); len(s) >= fewSamples {
@@ -330,8 +339,7 @@
 
 func (d *desk) beWary(tenant int) { d.wary[tenant%len(d.wary)] = d.l.now + waryFor }
 
-// giveUp sends the final answer of a search that can't be answered: a shed where that is true and allowed,
-// with the time to come back in; else a failure.
+// giveUp ends a search that can't be answered: shed with the time to come back in where that is true.
 func (d *desk) giveUp(slot int32) {
 	l, s := d.l, &d.slab[slot]
 	act := broker.Action{Kind: broker.Fail, ID: s.id}
@@ -358,14 +366,11 @@
 		if s.inUse && s.sent {
 			d.settle(int32(slot))
 		}
-		if !s.inUse {
-			continue
-		}
-		if !s.sent && (!s.stage2 || len(s.parts) > 0 || d.l.now >= s.last) {
-			d.dispatch(int32(slot))
-		} else if s.sent {
+		if s.inUse && s.sent {
 			d.further(s)
 			d.settle(int32(slot))
+		} else if s.inUse && (!s.stage2 || len(s.parts) > 0 || d.l.now >= s.last) {
+			d.dispatch(int32(slot))
 		}
 		if s.inUse {
 			d.next = min(d.next, s.last)
@@ -430,11 +435,9 @@
 	}
 }
 
-// refuse tells whether a new search should be turned away for lack of time. Danger: under overload all
-// searches end late and every retry adds to it. The wait expected of each set of nodes is held against the
-// time left; least value for its parts goes first, so does what is beyond its tenant's share. A search that
-// may be answered in part leaves out what no node holds or only crowded ones, down to its floor; one that
-// can't reach it is given up before any work is spent on it.
+// refuse tells whether a new search should be turned away for lack of time. Danger: under overload all end
+// late and each retry adds to it. The wait expected of each set is held against the time left; least value for
+// its parts goes first, so does a tenant beyond its share. Parts that only crowded nodes hold are left out.
 func (d *desk) refuse(s *search) bool {
 	l := d.l
 	value := s.typ.Value
@@ -642,10 +645,9 @@
 	l.post(&l.nodes[at].box, note{kind: sent})
 }
 
-// further sends the copies and resends that are due, within the shared cap, and what waited for scouts.
-// Danger: a search may itself bring down the nodes that begin it; resends would carry it through whole sets.
-// While more of its parts broke a connection than were answered, no further one is sent; once none is out it
-// is over. It may hurt a search that meets several nodes just as they die.
+// further sends copies and resends that are due, within the shared cap, and what waited for scouts. Danger: a
+// search may itself bring down the nodes that begin it. While more of its parts broke a connection than were
+// answered, nothing more is sent, and it is over once none is out. It may hurt where several nodes die at once.
 func (d *desk) further(s *search) {
 	l, t := d.l, d.l.t
 	if s.scout && s.in > 0 {
@@ -679,9 +681,8 @@
 			if !known {
 				due = a.at + s.typ.Target/2
 			}
-			// Danger: copies made while a whole set, or everything, is slow join the crowd they flee from and
-			// keep a jam alive. Then only parts held by a distrusted node are copied. It may hurt where half
-			// the nodes of a set turn slow.
+			// Danger: copies made while a whole set, or everything, is slow join the crowd they flee from. Then
+			// only those from distrusted nodes go. It may hurt where half the nodes of a set turn slow.
 			b := &d.board[a.node]
 			k := &d.slopes[b.cell%t.Cells]
 			crowded := max(float64(d.p50), d.fresh(k.took, k.at)) > crowdMost*float64(d.base)
--- a/logic/state.go
+++ b/logic/state.go
@@ -370,7 +370,7 @@
 	}
 }
 
-// cancel calls off what is still out for a part. A loser's age counts as a latency it would have passed.
+// cancel calls off what is still out for a part.
 func (d *desk) cancel(p *part) {
 	for i := range p.tries {
 		a := &p.tries[i]
@@ -380,15 +380,7 @@
 		a.live = false
 		p.live--
 		p.risk(a.at)
-		age := d.l.now - a.at
-		if age > d.p95 {
-			d.stale(a, 1)
-		}
-		if p.done {
-			d.record(age)
-		} else if float64(age) > d.slopes[d.board[a.node].cell%d.l.t.Cells].took {
-			d.heed(a, age) // what never came would have taken longer still
-		}
+		d.lost(p, a)
 		if d.l.t.Cancels {
 			d.l.out = append(d.l.out, broker.Action{Kind: broker.Cancel, ID: p.id, Attempt: uint16(i)})
 		}
