--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,7 +36,7 @@
 
 	darkPace, flapWithin = 500 * time.Millisecond, 2 * time.Second // where all are shut; shut anew
 
-	rumourMany, rumourFade      = 1.5, 3 * time.Second       // sick by the word of so many
+	rumourMany, rumourFade      = 1.5, 6 * time.Second       // sick by the word of so many
 	zoneStep, zoneBad, zoneFade = 0.1, 0.5, 20 * time.Second // share of a zone's parts that fails
 	coldSafety, coldSpread      = 0.6, 1.6                   // of the rule's limit; of the usual flow
 
@@ -286,9 +286,9 @@
 	}
 }
 
-// stale learns of connections cut while they idle. Danger: the next part breaks or is lost without a word, and a
-// broker with little traffic loses most so. While parts over connections that idled fail far more often than
-// over fresh ones, such connections are closed before use. It may hurt by handshakes for other causes.
+// stale learns of connections cut while they idle. Danger: the next part breaks, or is lost without a word: most
+// parts of a broker with little traffic. While parts over connections that idled fail far more often than over
+// fresh ones, such connections are closed before use. It may hurt by handshakes for other causes.
 func (d *desk) stale(a *attempt, failed float64) {
 	if a.idle < idleLeast {
 		d.fail += cutStep * (failed - d.fail)
@@ -436,8 +436,8 @@
 }
 
 // refuse tells whether a new search should be turned away for lack of time. Danger: under overload all end
-// late and each retry adds to it. The wait expected of each set is held against the time left; least value for
-// its parts goes first, so does a tenant beyond its share. Parts that only crowded nodes hold are left out.
+// late and each retry adds to it. The wait expected of each set is held against the time left; the least value
+// for its parts goes first, so does a tenant beyond its share. Parts that only crowded nodes hold are left out.
 func (d *desk) refuse(s *search) bool {
 	l := d.l
 	value := s.typ.Value
@@ -647,7 +647,7 @@
 
 // further sends copies and resends that are due, within the shared cap, and what waited for scouts. Danger: a
 // search may itself bring down the nodes that begin it. While more of its parts broke a connection than were
-// answered, nothing more is sent, and it is over once none is out. It may hurt where several nodes die at once.
+// answered, nothing more is sent, and it is over once none is out. It may hurt where many nodes die at once.
 func (d *desk) further(s *search) {
 	l, t := d.l, d.l.t
 	if s.scout && s.in > 0 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// Rule 4: brokers that know nothing of each other, three or forty that each send little, stay within the limit
-// of a node that has just started, in any window, even where warm nodes are sent all that they can do.
+// Rule 4: brokers that know nothing of each other, three, or forty that send little, stay within the limit of
+// a node that has just started, in any window, even where warm nodes are sent all that they can do.
 func TestColdNodeIsNotPushedOver(t *testing.T) {
 	for seed := range int64(6) {
 		brokers := []int{3, 40}[seed%2]
