--- a/logic/logic.go
+++ b/logic/logic.go
@@ -286,9 +286,9 @@
 	}
 }
 
-// stale learns of connections cut while they idle. Danger: the next part breaks, or is lost without a word: most
-// parts of a broker with little traffic. While parts over connections that idled fail far more often than over
-// fresh ones, such connections are closed before use. It may hurt by handshakes for other causes.
+// stale learns of connections cut while they idle. Danger: the next part breaks, or is lost without a word:
+// most parts of a broker with little traffic. While parts over connections that idled fail far more often
+// than over fresh ones, such connections are closed before use. It may hurt by handshakes for other causes.
 func (d *desk) stale(a *attempt, failed float64) {
 	if a.idle < idleLeast {
 		d.fail += cutStep * (failed - d.fail)
@@ -435,9 +435,9 @@
 	}
 }
 
-// refuse tells whether a new search should be turned away for lack of time. Danger: under overload all end
-// late and each retry adds to it. The wait expected of each set is held against the time left; the least value
-// for its parts goes first, so does a tenant beyond its share. Parts that only crowded nodes hold are left out.
+// refuse tells whether a new search should be turned away for lack of time. Danger: under overload all
+// end late and each retry adds to it. The wait expected of each set is held against the time left; least
+// value for its parts goes first, so does a tenant beyond its share. Parts held by crowded nodes are left.
 func (d *desk) refuse(s *search) bool {
 	l := d.l
 	value := s.typ.Value
@@ -681,8 +681,8 @@
 			if !known {
 				due = a.at + s.typ.Target/2
 			}
-			// Danger: copies made while a whole set, or everything, is slow join the crowd they flee from. Then
-			// only those from distrusted nodes go. It may hurt where half the nodes of a set turn slow.
+			// Danger: copies made while a whole set, or everything, is slow join the crowd they flee from.
+			// Then only those from distrusted nodes go. It may hurt where half the nodes of a set turn slow.
 			b := &d.board[a.node]
 			k := &d.slopes[b.cell%t.Cells]
 			crowded := max(float64(d.p50), d.fresh(k.took, k.at)) > crowdMost*float64(d.base)
