--- a/logic/logic.go
+++ b/logic/logic.go
@@ -437,7 +437,7 @@
 
 // refuse tells whether a new search should be turned away for lack of time. Danger: under overload all
 // end late and each retry adds to it. The wait expected of each set is held against the time left; least
-// value for its parts goes first, so does a tenant beyond its share. Parts held by crowded nodes are left.
+// value for its parts goes first, so does a tenant beyond its share. Parts of crowded sets are left out.
 func (d *desk) refuse(s *search) bool {
 	l := d.l
 	value := s.typ.Value
