--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,7 +36,7 @@
 
 	darkPace, flapWithin = 500 * time.Millisecond, 2 * time.Second // where all are shut; shut anew
 
-	rumourMany, rumourFade      = 1.5, 6 * time.Second       // sick by the word of so many
+	rumourMany, rumourFade      = 1.5, 4 * time.Second       // sick by the word of so many
 	zoneStep, zoneBad, zoneFade = 0.1, 0.5, 20 * time.Second // share of a zone's parts that fails
 	coldSafety, coldSpread      = 0.6, 1.6                   // of the rule's limit; of the usual flow
 
