--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -428,3 +428,37 @@
 		must(t, r.bad == "" && len(r.searches) == 0, "%d nodes: %d left, %s", nodes, len(r.searches), r.bad)
 	}
 }
+
+// A node whose trial is due is one candidate among its like: many brokers must not all draw it
+// (kisumu-leases-later big-1).
+func TestDueTrialDrawsNoHerd(t *testing.T) {
+	tried := 0
+	for seed := range uint64(60) {
+		terms := smallTerms()
+		terms.Seed = (seed + 1) * 0x9e3779b97f4a7c15
+		r := newRig(terms, 6)
+		r.l.nodes[0].distrust("test", 1)
+		r.step(5 * time.Second)
+		r.ask(0, 3*time.Second, 0)
+		r.step(5 * ms)
+		tried += len(r.sends[nodeID(0)])
+	}
+	must(t, tried > 8 && tried < 35, "%d of 60 brokers tried it at once, a third expected", tried)
+}
+
+// A broker that meets a node once in ten seconds heeds its last answer until then, and tries a node that
+// failed no sooner (kisumu-leases-later big-2, incident i923646).
+func TestNodesMetSeldom(t *testing.T) {
+	r := newRig(smallTerms(), 6)
+	r.step(time.Second)
+	slow, dead := r.l.nodes[0], r.l.nodes[2]
+	slow.gap, dead.gap = 10*time.Second, 10*time.Second
+	slow.read(&note{kind: ended, outcome: broker.OK, took: 900 * ms})
+	dead.read(&note{kind: ended, outcome: broker.ConnectFailed})
+	r.now += 9 * time.Second
+	r.l.now = r.now
+	slow.read(&note{kind: tick, limp: 100 * ms, gap: 10 * time.Second})
+	dead.read(&note{kind: tick, limp: 100 * ms, gap: 10 * time.Second})
+	must(t, slow.slow >= 5, "slow counts for %v", slow.slow)
+	must(t, dead.told.mode == shut, "the dead node is in mode %v", dead.told.mode)
+}
