A zone's verdict once a turn, one look-up of a set's record, comments put right

A second reading: the verdict on a zone was worked out anew for each holder of each part, a set's record was looked up in four places, and a silent node was weighed by a made-up event.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,9 +40,8 @@
 	zoneStep, zoneBad, zoneFade = 0.1, 0.5, 20 * time.Second // share of a zone's parts that fails
 	coldSafety, coldSpread      = 0.6, 1.6                   // of the rule's limit; of the usual flow
 
-	cutMore                  = 4.0           // and more often than over fresh ones
-	cutStep, cutOn, cutQuick = 0.05, 0.3, 16 // share of parts after idling that break within 1/16 of p50
-	idleLeast, cutFor        = 200 * time.Millisecond, 20 * time.Second
+	cutStep, cutOn, cutMore, cutQuick = 0.05, 0.3, 4.0, 16 // share that fails; times the fresh; part of p50
+	idleLeast, cutFor                 = 200 * time.Millisecond, 20 * time.Second
 
 	loadStep, loadFade   = 0.1, 4 * time.Second // weight of one latency in a set's record; its memory
 	shedLow, shedHigh    = 0.5, 0.75            // expected wait over time left: refusing starts and is complete
@@ -207,8 +206,7 @@
 	k := note{kind: standing, node: n.at, mode: fit, share: 1, slow: n.slow, downed: n.downed}
 	if t := n.l.t; n.warming {
 		// Danger (rule 4): all brokers at once push a cold node over. Each keeps to a share of what it sends
-		// a like warm node, by a capacity that grows no slower than evenly: their sum holds without
-		// agreement.
+		// a like warm node, by a capacity that grows no slower than evenly, so that their sum holds.
 		age := n.l.now - n.since
 		if age >= t.WarmAfter {
 			n.warming = false
@@ -309,7 +307,7 @@
 
 // heed teaches a set's record the latency of a sub-request to one of its nodes.
 func (d *desk) heed(a *attempt, took time.Duration) {
-	k := &d.slopes[d.board[a.node].cell%d.l.t.Cells]
+	k := d.setOf(a.node)
 	step := max(loadStep, 1-kept(d.l.now-k.at, loadFade))
 	k.of += step * (float64(took)/(a.load+1) - k.of)
 	k.took += step * (float64(took) - k.took)
@@ -324,7 +322,7 @@
 	}
 	if p.done {
 		d.record(age)
-	} else if float64(age) > d.slopes[d.board[a.node].cell%d.l.t.Cells].took {
+	} else if float64(age) > d.setOf(a.node).took {
 		d.heed(a, age)
 	}
 }
@@ -360,6 +358,7 @@
 // sweep looks at every search in hand: what came in, what is due, what is new.
 func (d *desk) sweep() {
 	d.next = never
+	d.judge()
 	d.short = float64(d.open()) > placesShort*float64(d.l.t.MaxOpen)
 	for slot := range d.slab {
 		s := &d.slab[slot]
@@ -475,8 +474,7 @@
 // wait is the latency expected of a part sent to a node: by its set's record, and no less than what the
 // second oldest of its calls has waited (the oldest may be stuck alone).
 func (d *desk) wait(at int32) float64 {
-	b := &d.board[at]
-	k := &d.slopes[b.cell%d.l.t.Cells]
+	b, k := &d.board[at], d.setOf(at)
 	age := time.Duration(0)
 	if n := len(b.calls); n > 0 && b.mode >= cold { // a trial is taken all the same
 		age = d.l.now - b.calls[min(1, n-1)].at
@@ -551,7 +549,7 @@
 			continue
 		}
 		slow := b.slow
-		if d.shunned(b) {
+		if d.zones[b.zone].shunned {
 			slow = limpMost
 		}
 		cost := slow * float64(len(b.calls)+1)
@@ -579,29 +577,31 @@
 // weigh adds an outcome to the record of a node's zone. Danger: a data centre that can't be reached, or is
 // sick as a whole, would have to be found out node by node. While most of what goes to it fails, and not so
 // in another, its nodes count as limping. It may hurt where chance gathers the sick nodes in one zone.
-func (d *desk) weigh(b *seat, e *broker.Event) {
-	z, was, failed := &d.zones[b.zone], d.shunned(b), 0.0
-	if e.Outcome == broker.ConnectFailed || e.Outcome == broker.TimedOut ||
-		e.Outcome == broker.Cancelled && e.Took >= d.p95 {
+func (d *desk) weigh(b *seat, how broker.Outcome, took time.Duration) {
+	z, failed := &d.zones[b.zone], 0.0
+	if how == broker.ConnectFailed || how == broker.TimedOut || how == broker.Cancelled && took >= d.p95 {
 		failed = 1
-	} else if e.Outcome != broker.OK {
+	} else if how != broker.OK {
 		return
 	}
 	z.doubt, z.at = d.doubt(z)*(1-zoneStep)+zoneStep*failed, d.l.now
-	if on := d.shunned(b); on != was {
-		d.l.logf("zone %d shunned %v: doubt %.2f", b.zone, on, z.doubt)
-	}
 }
 
 func (d *desk) doubt(z *zone) float64 { return z.doubt * kept(d.l.now-z.at, zoneFade) }
 
-func (d *desk) shunned(b *seat) bool {
+// judge tells of each zone, once a turn, whether it is shunned.
+func (d *desk) judge() {
 	least := 1.0
 	for i := range d.zones {
 		least = min(least, d.doubt(&d.zones[i]))
 	}
-	doubt := d.doubt(&d.zones[b.zone])
-	return doubt > zoneBad && least < doubt/2
+	for i := range d.zones {
+		z, doubt := &d.zones[i], d.doubt(&d.zones[i])
+		if z.shunned != (doubt > zoneBad && least < doubt/2) {
+			z.shunned = !z.shunned
+			d.l.logf("zone %d shunned %v: doubt %.2f", i, z.shunned, doubt)
+		}
+	}
 }
 
 // mayWarm tells whether a cold node may be sent a part. Its ration grows by its share of what a like warm
@@ -683,10 +683,9 @@
 			}
 			// Danger: copies made while a whole set, or everything, is slow join the crowd they flee from.
 			// Then only those from distrusted nodes go. It may hurt where half the nodes of a set turn slow.
-			b := &d.board[a.node]
-			k := &d.slopes[b.cell%t.Cells]
+			k := d.setOf(a.node)
 			crowded := max(float64(d.p50), d.fresh(k.took, k.at)) > crowdMost*float64(d.base)
-			if b.mode >= cold && crowded && known {
+			if d.board[a.node].mode >= cold && crowded && known {
 				due = max(due, l.now+poll)
 			}
 			if due > l.now {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -338,13 +338,14 @@
 		r.step(5 * ms)
 		if i == 400 {
 			before = len(r.sends[nodeID(0)]) + len(r.sends[nodeID(3)])
-			must(t, r.l.desk.shunned(&r.l.desk.board[0]), "zone 1 is shunned")
+			must(t, r.l.desk.zones[1].shunned, "zone 1 is shunned")
 		}
 	}
 	after := len(r.sends[nodeID(0)]) + len(r.sends[nodeID(3)]) - before
 	must(t, after < 8 && r.bad == "", "%d sent to two shunned nodes in 2 s: %s", after, r.bad)
 	r.l.desk.zones[0] = zone{doubt: 0.9, at: r.now}
-	must(t, !r.l.desk.shunned(&r.l.desk.board[0]), "all zones fail alike")
+	r.l.desk.judge()
+	must(t, !r.l.desk.zones[1].shunned, "all zones fail alike")
 }
 
 // Connections that fail after idling are closed before use, not where fresh ones fail alike (incidents
--- a/logic/state.go
+++ b/logic/state.go
@@ -14,7 +14,7 @@
 	zone     int
 	mode     mode
 	share    float64
-	downed   bool          // its connections broke
+	downed   bool          // it could not be reached
 	slow     float64       // how many calls one of its calls counts for
 	ration   float64       // parts a cold node may be sent now
 	rationed time.Duration // when it last grew
@@ -65,7 +65,7 @@
 	deadline time.Duration
 	last     time.Duration
 	got      float64
-	scout    bool // one part is sent ahead of the others
+	scout    bool // some parts are sent ahead of the others
 	in       int  // parts answered
 	broke    int  // sub-requests that broke their connection
 	parts    []part
@@ -137,11 +137,10 @@
 	}
 }
 
-// returned takes a sub-request that has ended off the books; the last result is nil where nobody waits for
-// it.
+// returned takes a sub-request that has ended off the books; the last result is nil if nobody waits for it.
 func (d *desk) returned(e *broker.Event) (*search, *part, *attempt) {
 	if at, known := d.l.byID[e.Node]; known {
-		d.weigh(&d.board[at], e)
+		d.weigh(&d.board[at], e.Outcome, e.Took)
 		d.board[at].talked = d.l.now
 		d.unload(&d.board[at], d.l.now-e.Took)
 		d.l.post(&d.l.nodes[at].box, note{kind: ended, outcome: e.Outcome, took: e.Took})
@@ -237,7 +236,7 @@
 	trusted  bool
 	trying   bool          // a trial is out
 	regained time.Duration // when it was last trusted anew
-	downed   bool          // its connections broke: when it lives again, it may have started anew
+	downed   bool          // it could not be reached
 	lat      time.Duration
 	slow     float64
 	ticked   time.Duration
@@ -410,8 +409,9 @@
 
 // zone is how much of what goes to a data centre fails, as learned up to a time.
 type zone struct {
-	doubt float64
-	at    time.Duration
+	doubt   float64
+	at      time.Duration
+	shunned bool
 }
 
 // find looks up what is still in hand under an id.
@@ -427,6 +427,9 @@
 	at   time.Duration
 }
 
+// setOf is the record of the set of nodes that a node is in.
+func (d *desk) setOf(at int32) *slope { return &d.slopes[d.board[at].cell%d.l.t.Cells] }
+
 // tally counts a node in or out of those that are neither cold nor distrusted.
 func (d *desk) tally(b *seat, by int) {
 	if b.mode == fit {
@@ -444,7 +447,7 @@
 			d.chill(b)
 		}
 		if b.mode >= cold && n.mode == shut && !n.downed {
-			d.weigh(b, &broker.Event{Outcome: broker.TimedOut})
+			d.weigh(b, broker.TimedOut, 0)
 		}
 		d.tally(b, -1)
 		if c := n.entry.Cell; c != b.cell || !slices.Contains(d.cells[c%d.l.t.Cells], n.node) {
--- a/simwire/host.go
+++ b/simwire/host.go
@@ -245,8 +245,8 @@
 func decodeEntries(raw []byte, start uint64) ([]broker.Entry, error) {
 	out := make([]broker.Entry, 0, len(raw)/entrySize)
 	for ; len(raw) > 0; raw = raw[entrySize:] {
-		e := broker.Entry{Node: node(raw), Cell: int(be.Uint16(raw[9:])), Zone: int(be.Uint16(raw[6:]))}
-		e.Boot = broker.NoBoot
+		e := broker.Entry{Node: node(raw), Cell: int(be.Uint16(raw[9:])), Zone: int(be.Uint16(raw[6:])),
+			Boot: broker.NoBoot}
 		switch raw[11] {
 		case 0:
 			e.State = broker.Draining
