--- /dev/null
+++ b/cmd/flaxfront/main.go
@@ -0,0 +1,104 @@
+// Command flaxfront is the broker on real sockets. This file owns the command line and the signals; it must never
+// hold anything that a broker does.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"flaxfront/broker"
+	"flaxfront/logic"
+	"flaxfront/server"
+	"flaxfront/terms"
+)
+
+func main() {
+	root := &cobra.Command{
+		Use:           "flaxfront",
+		Short:         "A query router before a sharded, replicated store",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	var config string
+	root.PersistentFlags().StringVar(&config, "config", os.Getenv("RELAY_CONFIG"),
+		"configuration file (default: what $RELAY_CONFIG names)")
+	root.AddCommand(
+		&cobra.Command{
+			Use:   "serve",
+			Short: "Serve until SIGTERM, then answer what was taken and exit",
+			Long: "Serve clients as the configuration says. SIGTERM or SIGINT stops the broker once all it has taken " +
+				"is answered;\nSIGUSR1 logs the counters, which GET /counters returns too.",
+			Args: cobra.NoArgs,
+			RunE: func(*cobra.Command, []string) error { return serve(config) },
+		},
+		&cobra.Command{
+			Use:   "check",
+			Short: "Read the configuration and tell what is wrong with it",
+			Args:  cobra.NoArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				start, _, err := load(config)
+				if err == nil {
+					fmt.Fprintf(cmd.OutOrStdout(), "%s: good for %s at %s\n", config, start.Name, start.Listen)
+				}
+				return err
+			},
+		},
+		&cobra.Command{
+			Use:   "version",
+			Short: "Tell the version",
+			Args:  cobra.NoArgs,
+			Run: func(cmd *cobra.Command, _ []string) {
+				version := "unknown"
+				if info, ok := debug.ReadBuildInfo(); ok {
+					version = info.Main.Version + " " + info.GoVersion
+				}
+				fmt.Fprintln(cmd.OutOrStdout(), "flaxfront", version)
+			},
+		},
+	)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "flaxfront:", err)
+		os.Exit(1)
+	}
+}
+
+func load(config string) (*terms.Start, *server.Server, error) {
+	if config == "" {
+		return nil, nil, fmt.Errorf("no configuration: give --config or set RELAY_CONFIG")
+	}
+	start, err := terms.ReadStart(config)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, err := server.New(start, func(t broker.Terms) broker.Decider { return logic.New(t) })
+	return start, s, err
+}
+
+func serve(config string) error {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	_, s, err := load(config)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	stop := make(chan struct{})
+	go func() {
+		stopping := false
+		for sig := range signals {
+			if sig == syscall.SIGUSR1 {
+				slog.Info("counters", "counters", s.Counters())
+			} else if !stopping {
+				stopping = true
+				close(stop)
+			}
+		}
+	}()
+	return s.Run(stop)
+}
--- /dev/null
+++ b/discovery/discovery.go
@@ -0,0 +1,230 @@
+// Package discovery keeps up with the node list. It owns the one connection to discovery, the version held and the
+// reading of the list. It must never decide when to ask: the module does, through Ask, and learns of each failure.
+// A list that can't be read whole changes nothing.
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"flaxfront/broker"
+	"flaxfront/httpwire"
+)
+
+// A call that discovery does not answer counts as told so long after it, or after its wait.
+const (
+	toldAfter     = 6 * time.Second
+	toldAfterWait = 2 * time.Second
+	path          = "/discovery/hosts"
+)
+
+// Node is one line of the list.
+type Node struct {
+	Name  string
+	Addr  netip.AddrPort
+	Entry broker.Entry
+}
+
+// List is a whole list or the lines that changed.
+type List struct {
+	Version uint64
+	Whole   bool
+	Nodes   []Node
+}
+
+// Reader reads lists in discovery's form.
+type Reader struct {
+	Zones []string
+	Cells int
+	Start time.Time // entries count from here
+}
+
+// Decode reads one list; any line that makes no sense spoils it.
+func (rd *Reader) Decode(raw []byte) (*List, error) {
+	var doc struct {
+		Generation *uint64 `json:"generation"`
+		Reset      bool    `json:"reset"`
+		Instances  []struct {
+			InstanceID string `json:"instanceId"`
+			HostPort   string `json:"hostPort"`
+			Zone       string `json:"zone"`
+			Cell       int    `json:"cell"`
+			Lifecycle  string `json:"lifecycle"`
+			StartedAt  int64  `json:"startedAtMs"`
+		} `json:"instances"`
+	}
+	if err := json.Unmarshal(raw, &doc); err != nil {
+		return nil, fmt.Errorf("node list: %w", err)
+	}
+	if doc.Generation == nil {
+		return nil, errors.New("node list: generation: missing")
+	}
+	list := &List{Version: *doc.Generation, Whole: doc.Reset}
+	for i, in := range doc.Instances {
+		n := Node{Name: in.InstanceID}
+		e := &n.Entry
+		e.Node, e.Cell, e.Zone, e.Boot = ID(in.InstanceID), in.Cell, rd.zone(in.Zone), broker.NoBoot
+		if in.InstanceID == "" || in.Cell < 0 || in.Cell >= rd.Cells {
+			return nil, fmt.Errorf("node list: instances.%d: %q in cell %d of %d", i, in.InstanceID, in.Cell, rd.Cells)
+		}
+		switch in.Lifecycle {
+		case "in_service":
+			e.State = broker.Ready
+		case "terminating":
+			e.State = broker.Draining
+		case "terminated":
+			e.State = broker.Gone
+		default:
+			return nil, fmt.Errorf("node list: instances.%d: lifecycle %.40q", i, in.Lifecycle)
+		}
+		var err error
+		if n.Addr, err = netip.ParseAddrPort(in.HostPort); err != nil && e.State != broker.Gone {
+			return nil, fmt.Errorf("node list: instances.%d: hostPort %.60q", i, in.HostPort)
+		}
+		if in.StartedAt < 0 {
+			return nil, fmt.Errorf("node list: instances.%d: startedAtMs %d", i, in.StartedAt)
+		} else if in.StartedAt > 0 {
+			e.Boot = time.UnixMilli(in.StartedAt).Sub(rd.Start)
+		}
+		list.Nodes = append(list.Nodes, n)
+	}
+	return list, nil
+}
+
+// zone numbers a zone by the settings; one that they do not name comes after those.
+func (rd *Reader) zone(name string) int {
+	at := slices.Index(rd.Zones, name)
+	if at < 0 {
+		at = len(rd.Zones)
+	}
+	return at
+}
+
+// ID makes a node's id of its name. Addresses differ from one broker to the next, names do not, and what brokers
+// tell one another of nodes must mean the same to all.
+func ID(name string) (id broker.NodeID) {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	sum := h.Sum(nil)
+	copy(id.Addr[:], sum)
+	id.Port = uint16(sum[4])<<8 | uint16(sum[5])
+	return id
+}
+
+// Client asks discovery.
+type Client struct {
+	addr   string
+	reader Reader
+	wait   time.Duration // how long discovery may hold a watch
+	held   uint64        // the version held
+	known  bool
+	tell   func(*List, error) // delivers to the loop
+	ask    chan struct{}
+	conn   net.Conn
+	in     *bufio.Reader
+	buf    []byte
+}
+
+// NewClient makes a client that holds a version already, or nothing (known false).
+func NewClient(addr string, reader Reader, wait time.Duration, held uint64, known bool,
+	tell func(*List, error)) *Client {
+	return &Client{addr: addr, reader: reader, wait: wait, held: held, known: known, tell: tell,
+		ask: make(chan struct{}, 1)}
+}
+
+// Ask starts a watch unless one is held; each ask is answered by a list or an error.
+func (c *Client) Ask() {
+	select {
+	case c.ask <- struct{}{}:
+	default: // one is waiting already
+	}
+}
+
+// Run carries out what is asked until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	defer c.hangUp()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.ask:
+		}
+		for {
+			list, err := c.call(ctx)
+			if ctx.Err() != nil {
+				return nil
+			}
+			c.tell(list, err)
+			if err != nil {
+				c.hangUp()
+				break
+			}
+		}
+	}
+}
+
+// call makes one call: a watch on from the version held, or the whole list.
+func (c *Client) call(ctx context.Context) (*List, error) {
+	target, limit := path, toldAfter
+	if c.known {
+		target = fmt.Sprintf("%s?index=%d&wait=%d", path, c.held, c.wait.Milliseconds())
+		limit = c.wait + toldAfterWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	m, err := c.exchange(ctx, target)
+	if err != nil {
+		return nil, err
+	}
+	if m.Status != 200 {
+		return nil, fmt.Errorf("discovery: status %d", m.Status)
+	}
+	if m.Close {
+		c.hangUp()
+	}
+	list, err := c.reader.Decode(m.Body)
+	if err != nil {
+		c.known = false // next time the whole list
+		return nil, err
+	}
+	if list.Version < c.held {
+		c.known = false
+		return nil, fmt.Errorf("discovery: version %d after %d", list.Version, c.held)
+	}
+	c.held, c.known = list.Version, true
+	return list, nil
+}
+
+func (c *Client) exchange(ctx context.Context, target string) (*httpwire.Message, error) {
+	if c.conn == nil {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", c.addr)
+		if err != nil {
+			return nil, err
+		}
+		c.conn, c.in = conn, httpwire.NewReader(conn)
+	}
+	conn := c.conn
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	c.buf = httpwire.AppendRequest(c.buf[:0], "GET", target, c.addr)
+	if _, err := conn.Write(c.buf); err != nil {
+		return nil, err
+	}
+	return httpwire.ReadResponse(c.in)
+}
+
+func (c *Client) hangUp() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
--- /dev/null
+++ b/server/ask.go
@@ -0,0 +1,156 @@
+package server
+
+// This file owns the meaning of the client protocol: a request's headers and body become one small typed value, once,
+// and a verdict becomes one response, once. It must never touch a connection or the module, nor let through what the
+// protocol does not allow.
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"flaxfront/httpwire"
+	"flaxfront/terms"
+)
+
+const (
+	longestID      = 64
+	absurdTime     = time.Hour
+	weightsSumSlip = 0.01
+)
+
+// ask is a search as its client asked it.
+type ask struct {
+	id      string
+	typ     int
+	tenant  int
+	repeat  bool
+	timeout time.Duration
+	text    string
+	parts   []askPart
+}
+
+type askPart struct {
+	name   string // the search's id, a dot, the shard
+	shard  int
+	weight float64
+}
+
+// refusal is a request that can't be taken.
+type refusal struct {
+	status int
+	why    string
+}
+
+func no(status int, format string, args ...any) *refusal {
+	return &refusal{status, fmt.Sprintf(format, args...)}
+}
+
+// decodeAsk reads a search.
+func decodeAsk(m *httpwire.Message, t *terms.Terms) (*ask, *refusal) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(m.Path, "/"), "/")
+	a := &ask{typ: slices.Index(t.Types, name)}
+	if a.typ < 0 {
+		return nil, no(404, "no query type %.40q", name)
+	}
+	if m.Method != "POST" {
+		return nil, no(405, "method %.20q", m.Method)
+	}
+	var times int
+	if a.id, times = m.Get("x-request-id"); times != 1 || !plainID(a.id) {
+		return nil, no(400, "X-Request-ID %.80q", a.id)
+	}
+	if tenant, times := m.Get("x-tenant-id"); len(t.Tenants) > 0 {
+		if a.tenant = slices.Index(t.Tenants, tenant); a.tenant < 0 || times != 1 {
+			return nil, no(400, "X-Tenant-Id %.40q", tenant)
+		}
+	}
+	limit, times := m.Get("x-timeout-ms")
+	ms, err := strconv.ParseInt(limit, 10, 64)
+	if err != nil || times != 1 || ms <= 0 || ms > absurdTime.Milliseconds() {
+		return nil, no(400, "X-Timeout-Ms %.40q", limit)
+	}
+	a.timeout = min(time.Duration(ms)*time.Millisecond, t.Module.Types[a.typ].Timeout)
+	again, _ := m.Get("x-retried")
+	a.repeat = again == "1"
+	return a, a.readBody(m.Body, t)
+}
+
+func (a *ask) readBody(body []byte, t *terms.Terms) *refusal {
+	var doc struct {
+		Tablets []struct {
+			Tablet   *int     `json:"tablet"`
+			Fraction *float64 `json:"fraction"`
+		} `json:"tablets"`
+		Statement *string `json:"statement"`
+	}
+	if err := json.Unmarshal(body, &doc); err != nil {
+		return no(400, "body: %v", err)
+	}
+	if len(doc.Tablets) == 0 || doc.Statement == nil {
+		return no(400, "body: %d tablets, statement there: %v", len(doc.Tablets), doc.Statement != nil)
+	}
+	a.text = *doc.Statement
+	sum := 0.0
+	for i, p := range doc.Tablets {
+		if p.Tablet == nil || *p.Tablet < 0 || *p.Tablet >= t.Shards {
+			return no(400, "body: tablets.%d: no such tablet", i)
+		}
+		if p.Fraction == nil || !(*p.Fraction >= 0 && *p.Fraction <= 1+weightsSumSlip) {
+			return no(400, "body: tablets.%d: fraction", i)
+		}
+		if slices.ContainsFunc(a.parts, func(o askPart) bool { return o.shard == *p.Tablet }) {
+			return no(400, "body: tablet %d twice", *p.Tablet)
+		}
+		sum += *p.Fraction
+		a.parts = append(a.parts, askPart{a.id + "." + strconv.Itoa(*p.Tablet), *p.Tablet, *p.Fraction})
+	}
+	if math.Abs(sum-1) > weightsSumSlip {
+		return no(400, "body: fractions add up to %.3f", sum)
+	}
+	return nil
+}
+
+// plainID tells whether an id can stand in a frame's line.
+func plainID(id string) bool {
+	for i := range len(id) {
+		c := id[i]
+		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_') {
+			return false
+		}
+	}
+	return id != "" && len(id) <= longestID
+}
+
+// appendVerdict encodes the response to a search.
+func appendVerdict(b []byte, v verdict, last bool) []byte {
+	switch v.kind {
+	case answered:
+		type cell struct {
+			Tablet int    `json:"tablet"`
+			Cell   string `json:"cell"`
+		}
+		doc := struct {
+			Full   bool   `json:"full"`
+			Pieces []cell `json:"pieces"`
+		}{v.whole, make([]cell, 0, len(v.pieces))}
+		for _, p := range v.pieces {
+			doc.Pieces = append(doc.Pieces, cell{p.shard, p.value})
+		}
+		body, _ := json.Marshal(doc) // strings and numbers always encode
+		return httpwire.AppendResponse(b, 200, last, body, "Content-Type: application/json")
+	case shed:
+		if v.after > 0 {
+			return httpwire.AppendResponse(b, 503, last, nil, fmt.Sprintf("Retry-After: %.3f", v.after.Seconds()))
+		}
+		return httpwire.AppendResponse(b, 503, last, nil)
+	case twice:
+		return httpwire.AppendResponse(b, 409, last, []byte("a search of this id is in hand\n"))
+	default:
+		return httpwire.AppendResponse(b, 504, last, nil)
+	}
+}
--- /dev/null
+++ b/server/client.go
@@ -0,0 +1,294 @@
+package server
+
+// This file owns client connections: accepting, reading one request after the other, the life of a search, writing.
+// It must never decide about a search, keep one after its answer, or close a connection that has a search in hand.
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"flaxfront/httpwire"
+)
+
+var long = time.Unix(1, 0) // a deadline that has passed
+
+// client is one client connection.
+type client struct {
+	net.Conn
+	in       *bufio.Reader
+	out      []byte
+	requests int
+
+	// guarded by clients.mu
+	idle  time.Time // since when it waits for a request; zero: a request is in hand
+	ended string    // why this side closed it
+}
+
+// clients are all client connections. Their number is bounded; where it is reached the one that idled longest is
+// closed for a new one, and where none idles new ones wait in the kernel.
+type clients struct {
+	mu      sync.Mutex
+	all     map[*client]bool
+	most    int
+	room    chan struct{} // told when one ends or falls idle
+	closing bool          // idle ones are closed at once
+
+	accepted, closed, refused, unwritten atomic.Uint64
+}
+
+// admit counts a connection in, or tells that there is no room.
+func (cs *clients) admit(c *client) bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if len(cs.all) >= cs.most {
+		var oldest *client
+		for o := range cs.all {
+			if !o.idle.IsZero() && o.ended == "" && (oldest == nil || o.idle.Before(oldest.idle)) {
+				oldest = o
+			}
+		}
+		if oldest != nil {
+			oldest.end("spare")
+		}
+		return false
+	}
+	cs.all[c] = true
+	c.idle = time.Now()
+	return true
+}
+
+// end wakes the connection's reader, which then closes it. The caller holds mu.
+func (c *client) end(reason string) {
+	c.ended = reason
+	c.SetReadDeadline(long)
+}
+
+// rest marks a connection as idle or busy and tells why it is to be closed, if it is.
+func (cs *clients) rest(c *client, idle bool) string {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if !idle {
+		c.idle = time.Time{}
+		return c.ended
+	}
+	c.idle = time.Now()
+	if cs.closing && c.ended == "" {
+		c.ended = "drained"
+	}
+	cs.tellRoom()
+	return c.ended
+}
+
+func (cs *clients) tellRoom() {
+	select {
+	case cs.room <- struct{}{}:
+	default:
+	}
+}
+
+func (cs *clients) remove(c *client) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	delete(cs.all, c)
+	cs.closed.Add(1)
+	cs.tellRoom()
+}
+
+// closeIdle closes idle connections, now and whenever one falls idle.
+func (cs *clients) closeIdle() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.closing = true
+	for c := range cs.all {
+		if !c.idle.IsZero() && c.ended == "" {
+			c.end("drained")
+		}
+	}
+}
+
+// accept takes connections until the listener is closed.
+func (s *Server) accept(ctx context.Context) error {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil { // such as no descriptor left: idle ones go, and the kernel keeps the others waiting
+			slog.Warn("accept failed", "error", err)
+			if !s.waitForRoom(ctx) {
+				return nil
+			}
+			continue
+		}
+		c := &client{Conn: conn, in: httpwire.NewReader(conn)}
+		for !s.clients.admit(c) {
+			if !s.waitForRoom(ctx) {
+				conn.Close()
+				return nil
+			}
+		}
+		s.clients.accepted.Add(1)
+		s.serving.Add(1)
+		s.group.Go(func() error {
+			defer s.serving.Done()
+			s.serve(ctx, c)
+			return nil
+		})
+	}
+}
+
+// waitForRoom waits until a connection ends or falls idle, or for a short time.
+func (s *Server) waitForRoom(ctx context.Context) bool {
+	select {
+	case <-s.clients.room:
+	case <-time.After(s.start.Terms.Dial):
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// serve owns a client connection until its end, which leaves one log line.
+func (s *Server) serve(ctx context.Context, c *client) {
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	reason := s.converse(ctx, c)
+	stop()
+	c.Close()
+	s.clients.remove(c)
+	slog.Info("client connection ended", "from", c.RemoteAddr(), "reason", reason, "requests", c.requests)
+}
+
+// converse answers one request after the other and returns why the connection ends.
+func (s *Server) converse(ctx context.Context, c *client) string {
+	for {
+		c.SetReadDeadline(time.Now().Add(s.start.Terms.Idle))
+		if ended := s.clients.rest(c, true); ended != "" {
+			return ended
+		}
+		_, err := c.in.Peek(1)
+		ended := s.clients.rest(c, false)
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && ended != "":
+			return ended
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return "idle"
+		case errors.Is(err, io.EOF):
+			return "client_closed"
+		case err != nil:
+			return "client_reset"
+		}
+		c.SetReadDeadline(time.Now().Add(s.longest))
+		m, err := httpwire.ReadRequest(c.in)
+		arrived := s.loop.since()
+		var bad *httpwire.Fault
+		switch {
+		case errors.As(err, &bad):
+			s.clients.refused.Add(1)
+			s.write(c, httpwire.AppendResponse(c.out[:0], bad.Status, true, []byte(bad.Why+"\n")))
+			return "bad_request"
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return "slow_request"
+		case err != nil:
+			return "cut_short"
+		}
+		c.requests++
+		if reason := s.request(ctx, c, m, arrived); reason != "" {
+			return reason
+		}
+	}
+}
+
+// request answers one request; a reason ends the connection.
+func (s *Server) request(ctx context.Context, c *client, m *httpwire.Message, arrived time.Duration) string {
+	last := m.Close || s.draining.Load()
+	var err error
+	switch m.Path {
+	case "/up", "/alive":
+		err = s.write(c, httpwire.AppendResponse(c.out[:0], 200, last, []byte("ok\n")))
+	case "/counters":
+		text, _ := json.Marshal(s.Counters())
+		err = s.write(c, httpwire.AppendResponse(c.out[:0], 200, last, append(text, '\n'),
+			"Content-Type: application/json"))
+	default:
+		a, bad := decodeAsk(m, &s.start.Terms)
+		if bad == nil {
+			return s.search(ctx, c, a, arrived, m.Close)
+		}
+		s.clients.refused.Add(1)
+		err = s.write(c, httpwire.AppendResponse(c.out[:0], bad.status, last, []byte(bad.why+"\n")))
+	}
+	switch {
+	case err != nil:
+		return "write_failed"
+	case last:
+		return "last_answer"
+	}
+	return ""
+}
+
+// search is the life of one search, from its last byte to the last byte of its answer.
+func (s *Server) search(ctx context.Context, c *client, a *ask, arrived time.Duration, last bool) string {
+	q := &search{ask: a, deadline: arrived + a.timeout, verdict: make(chan verdict, 1)}
+	if !s.deliver(taken{q}) {
+		return "shutdown"
+	}
+	// While the module has it, its client may go away.
+	c.SetReadDeadline(time.Time{})
+	gone := make(chan error, 1)
+	go func() {
+		_, err := c.in.Peek(1)
+		gone <- err
+	}()
+	overdue := time.NewTimer(q.deadline - s.loop.since())
+	defer overdue.Stop()
+	var v verdict
+	watching := gone
+	for waiting := true; waiting; {
+		select {
+		case v = <-q.verdict:
+			waiting = false
+		case err := <-watching:
+			if err != nil {
+				s.deliver(leave{q, false})
+				return "client_left"
+			}
+			watching = nil // it has sent more already; that waits its turn
+		case <-overdue.C:
+			s.deliver(leave{q, true}) // a verdict comes of it
+		case <-ctx.Done():
+			return "shutdown"
+		}
+	}
+	if watching != nil {
+		c.SetReadDeadline(long)
+		<-gone
+	}
+	last = last || s.draining.Load()
+	c.out = appendVerdict(c.out[:0], v, last)
+	if err := s.write(c, c.out); err != nil {
+		s.clients.unwritten.Add(1)
+		return "write_failed"
+	}
+	slog.Debug("search over", "id", a.id, "verdict", v.kind, "took", s.loop.since()-arrived)
+	if last {
+		return "last_answer"
+	}
+	return ""
+}
+
+// write sends a response whole, within the longest time that any client waits.
+func (s *Server) write(c *client, b []byte) error {
+	c.out = b[:0]
+	c.SetWriteDeadline(time.Now().Add(s.longest))
+	_, err := c.Write(b)
+	return err
+}
--- /dev/null
+++ b/server/loop.go
@@ -0,0 +1,423 @@
+package server
+
+// This file owns the one goroutine that calls the module. Everything that happens is delivered to it; it hands all
+// that is queued to the module as one turn and carries the actions out. It must never wait for a socket or for a
+// client, and it takes no decision: what it refuses itself (no place left, an id in hand twice) the settings say.
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"flaxfront/broker"
+	"flaxfront/discovery"
+	"flaxfront/store"
+)
+
+// queueDepth bounds what is delivered and not yet taken. Whoever delivers more waits, so that bytes stay in the
+// kernel and the network slows down whoever sends them.
+const queueDepth = 1024
+
+// search is one search in hand. The first fields are its life's, the others the loop's.
+type search struct {
+	*ask
+	deadline time.Duration // when its client gives up
+	verdict  chan verdict  // holds one; nobody waits to deliver it
+
+	id    uint64 // as the module knows it; its parts have the numbers that follow
+	over  bool
+	parts []part
+}
+
+type part struct {
+	in    bool
+	value string
+	tries []*store.Part
+}
+
+// verdict is the final answer.
+type verdict struct {
+	kind   verdictKind
+	whole  bool
+	after  time.Duration // shed: when to come back; 0: no advice
+	pieces []piece
+}
+
+type verdictKind uint8
+
+const (
+	answered verdictKind = iota
+	shed
+	errored
+	twice // a search of that id is in hand
+)
+
+type piece struct {
+	shard int
+	value string
+}
+
+// What is delivered to the loop, beside store.Event.
+type (
+	taken struct{ s *search }
+	leave struct {
+		s       *search
+		overdue bool // no verdict came in time; else the client has gone
+	}
+	listed struct {
+		list *discovery.List
+		err  error
+	}
+	said struct {
+		from int
+		text []byte
+	}
+	report struct{ to chan Tally }
+)
+
+// Tally counts searches: Taken = Answered + Shed + Errored + Left + InHand.
+type Tally struct {
+	Taken, Answered, Shed, Errored, Left, InHand uint64
+	Partial                                      uint64 // of those answered
+	Full                                         uint64 // of those shed: no place was left
+	Turns, Subrequests                           uint64
+	ListsTaken, ListsFailed                      uint64
+	NodeConns                                    int
+	Store                                        store.Counts
+}
+
+type loop struct {
+	start    time.Time
+	module   broker.Decider
+	maxOpen  int
+	batch    int
+	in       chan any
+	pool     *store.Pool
+	ask      func()            // ask discovery
+	tell     func(text string) // to the other brokers
+	names    map[broker.NodeID]string
+	serial   uint64
+	next     uint64
+	places   int
+	searches map[uint64]*search
+	owners   map[uint64]*search // of parts
+	ids      map[string]bool    // request ids in hand
+	events   []broker.Event     // for the next turn
+	spare    []broker.Event
+	actions  []broker.Action
+	calls    []call
+	ended    []*search
+	wake     time.Duration // 0: none
+	tally    Tally
+}
+
+// call gathers the parts of one turn to one node.
+type call struct {
+	to    broker.NodeID
+	parts []*store.Part
+}
+
+func newLoop(start time.Time, module broker.Decider, t *broker.Terms) *loop {
+	return &loop{start: start, module: module, maxOpen: t.MaxOpen, batch: t.BatchParts,
+		in: make(chan any, queueDepth), names: map[broker.NodeID]string{}, next: 1,
+		searches: map[uint64]*search{}, owners: map[uint64]*search{}, ids: map[string]bool{},
+		ask: func() {}, tell: func(string) {}}
+}
+
+func (l *loop) since() time.Duration { return time.Since(l.start) }
+
+// run takes turns until ctx ends.
+func (l *loop) run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case d := <-l.in:
+			l.take(d)
+		case <-timer.C:
+		}
+		l.drain()
+		next := l.step()
+		timer.Reset(max(0, next-l.since()))
+	}
+}
+
+// drain takes what else is queued, one queue's length at most, so that a turn comes in any case.
+func (l *loop) drain() {
+	for range queueDepth {
+		select {
+		case d := <-l.in:
+			l.take(d)
+		default:
+			return
+		}
+	}
+}
+
+// step takes a turn if anything happened and tells when to come again.
+func (l *loop) step() (next time.Duration) {
+	now := l.since()
+	next = l.pool.Sweep(now)
+	if l.wake > 0 && l.wake <= now {
+		l.wake = 0
+		l.events = append(l.events, broker.Event{Kind: broker.Woken})
+	}
+	if len(l.events) > 0 {
+		l.turn(now)
+	}
+	if len(l.events) > 0 { // such as the ends of what was called off
+		return now
+	}
+	if l.wake > 0 {
+		next = min(next, l.wake)
+	}
+	return next
+}
+
+// take turns what was delivered into events for the module.
+func (l *loop) take(d any) {
+	switch d := d.(type) {
+	case store.Event:
+		l.pool.Handle(d)
+	case taken:
+		l.admit(d.s)
+	case leave:
+		if !d.s.over {
+			if d.overdue {
+				l.tally.Errored++
+				d.s.verdict <- verdict{kind: errored}
+			} else {
+				l.tally.Left++
+			}
+			l.events = append(l.events, broker.Event{Kind: broker.Left, ID: d.s.id})
+			l.finish(d.s)
+		}
+	case listed:
+		l.list(d.list, d.err)
+	case said:
+		l.events = append(l.events, broker.Event{Kind: broker.PeerSaid, From: uint32(d.from), Text: d.text})
+	case report:
+		t := l.tally
+		t.InHand, t.Store, t.NodeConns = uint64(len(l.searches)), l.pool.Counts, l.pool.Open()
+		d.to <- t
+	}
+}
+
+// admit hands a search to the module, if there is a place for it and its parts.
+func (l *loop) admit(s *search) {
+	l.tally.Taken++
+	n := len(s.ask.parts)
+	if l.ids[s.ask.id] {
+		l.tally.Errored++
+		s.over = true
+		s.verdict <- verdict{kind: twice}
+		return
+	}
+	if l.places+1+n > l.maxOpen {
+		l.tally.Shed++
+		l.tally.Full++
+		s.over = true
+		s.verdict <- verdict{kind: shed}
+		return
+	}
+	s.id = l.next
+	l.next += 1 + uint64(n)
+	l.places += 1 + n
+	l.searches[s.id], l.ids[s.ask.id] = s, true
+	s.parts = make([]part, n)
+	l.serial = (l.serial + 1) % (1 << 24) // what a float32 holds; far more than can be in hand
+	left := s.deadline - l.since()
+	l.events = append(l.events, broker.Event{Kind: broker.SearchIn, ID: s.id, Serial: float32(l.serial),
+		Type: s.typ, Tenant: s.tenant, Left: left, Weight: float64(n), Repeat: s.repeat})
+	for i := range s.ask.parts {
+		id := s.id + 1 + uint64(i)
+		l.owners[id] = s
+		l.events = append(l.events, broker.Event{Kind: broker.PartIn, ID: id, Serial: float32(l.serial),
+			Type: s.typ, Tenant: s.tenant, Left: left, Shard: s.ask.parts[i].shard, Weight: s.ask.parts[i].weight})
+	}
+}
+
+func (l *loop) list(list *discovery.List, err error) {
+	if err != nil {
+		l.tally.ListsFailed++
+		slog.Info("list not had", "error", err)
+		l.events = append(l.events, broker.Event{Kind: broker.ListFailed})
+		return
+	}
+	l.tally.ListsTaken++
+	e := broker.Event{Kind: broker.ListDelta}
+	if list.Whole {
+		e.Kind = broker.ListFull
+	}
+	for i := range list.Nodes {
+		n := &list.Nodes[i]
+		id := n.Entry.Node
+		if other, known := l.names[id]; known && other != n.Name {
+			slog.Error("two nodes share an id", "node", n.Name, "other", other)
+			continue
+		}
+		l.names[id] = n.Name
+		e.Entries = append(e.Entries, n.Entry)
+		if n.Entry.State == broker.Gone {
+			l.pool.CloseIdle(id, "gone")
+		} else {
+			l.pool.Point(id, n.Name, n.Addr, n.Entry.Boot)
+		}
+		slog.Info("node listed", "node", n.Name, "id", id, "state", n.Entry.State, "zone", n.Entry.Zone)
+	}
+	l.events = append(l.events, e)
+}
+
+// turn calls the module and carries its actions out, in their order; the parts for one node leave together.
+func (l *loop) turn(now time.Duration) {
+	events := l.events
+	l.events = l.spare[:0]
+	l.tally.Turns++
+	l.actions = l.module.Turn(now, events, l.actions[:0])
+	clear(events)
+	l.spare = events[:0]
+	for i := range l.actions {
+		l.carryOut(&l.actions[i], now)
+	}
+	for i := range l.calls {
+		l.flush(&l.calls[i])
+	}
+	l.calls = l.calls[:0]
+	for _, s := range l.ended {
+		l.forget(s)
+	}
+	clear(l.ended)
+	l.ended = l.ended[:0]
+}
+
+func (l *loop) carryOut(a *broker.Action, now time.Duration) {
+	switch a.Kind {
+	case broker.Send:
+		l.send(a, now)
+	case broker.Cancel:
+		if p, i := l.part(a.ID); p != nil && int(a.Attempt) < len(p.parts[i].tries) {
+			l.pool.Cancel(p.parts[i].tries[a.Attempt])
+		}
+	case broker.Answer:
+		if s := l.searches[a.ID]; s != nil && !s.over {
+			l.tally.Answered++
+			v := verdict{kind: answered, whole: a.Whole}
+			for i := range s.parts {
+				if s.parts[i].in {
+					v.pieces = append(v.pieces, piece{s.ask.parts[i].shard, s.parts[i].value})
+				}
+			}
+			if !v.whole {
+				l.tally.Partial++
+			}
+			s.verdict <- v
+			l.finish(s)
+		}
+	case broker.Shed:
+		if s := l.searches[a.ID]; s != nil && !s.over {
+			l.tally.Shed++
+			s.verdict <- verdict{kind: shed, after: a.After}
+			l.finish(s)
+		}
+	case broker.Fail:
+		if s := l.searches[a.ID]; s != nil && !s.over {
+			l.tally.Errored++
+			s.verdict <- verdict{kind: errored}
+			l.finish(s)
+		}
+	case broker.Wake:
+		if l.wake == 0 || a.At < l.wake {
+			l.wake = max(1, a.At)
+		}
+	case broker.Close:
+		l.pool.CloseIdle(a.Node, "unused")
+	case broker.Subscribe:
+		l.ask()
+	case broker.Log:
+		slog.Info(a.Text, "at", now.Round(time.Millisecond))
+	case broker.Tell:
+		l.tell(a.Text)
+	}
+}
+
+// part finds the search that a part belongs to, and its place there.
+func (l *loop) part(id uint64) (*search, int) {
+	if s := l.owners[id]; s != nil {
+		return s, int(id - s.id - 1)
+	}
+	return nil, 0
+}
+
+func (l *loop) send(a *broker.Action, now time.Duration) {
+	s, i := l.part(a.ID)
+	if s == nil {
+		slog.Error("a part that is not in hand was to be sent", "part", a.ID)
+		return
+	}
+	p := &s.parts[i]
+	t := &store.Part{ID: s.ask.parts[i].name, Shard: s.ask.parts[i].shard, Text: s.text, Deadline: s.deadline,
+		Sent: now, Part: a.ID, Attempt: uint16(len(p.tries)), Node: a.Node}
+	p.tries = append(p.tries, t)
+	if s.over {
+		l.subrequestEnded(t, broker.NeverSent, now, "")
+		return
+	}
+	l.tally.Subrequests++
+	for j := range l.calls {
+		if c := &l.calls[j]; c.to == a.Node && len(c.parts) < l.batch {
+			c.parts = append(c.parts, t)
+			return
+		}
+	}
+	l.calls = append(l.calls, call{a.Node, []*store.Part{t}})
+}
+
+// flush sends a call, but for parts whose search ended in the same turn.
+func (l *loop) flush(c *call) {
+	parts := c.parts[:0]
+	for _, t := range c.parts {
+		if t.Over() {
+			continue
+		}
+		if l.owners[t.Part].over {
+			l.pool.Cancel(t)
+			continue
+		}
+		parts = append(parts, t)
+	}
+	if len(parts) > 0 {
+		l.pool.Send(c.to, parts)
+	}
+}
+
+// subrequestEnded makes an event of a sub-request's end. A value counts from here on: the module learns of it in the
+// same turn.
+func (l *loop) subrequestEnded(t *store.Part, how broker.Outcome, at time.Duration, value string) {
+	if s, i := l.part(t.Part); s != nil && how == broker.OK && !s.parts[i].in {
+		s.parts[i].in, s.parts[i].value = true, value
+	}
+	l.events = append(l.events, broker.Event{Kind: broker.Ended, ID: t.Part, Attempt: t.Attempt, Outcome: how,
+		Took: max(0, at-t.Sent), Node: t.Node})
+}
+
+// finish marks a search as over; it is forgotten once the actions of its last turn are carried out.
+func (l *loop) finish(s *search) {
+	s.over = true
+	l.places -= 1 + len(s.parts)
+	l.ended = append(l.ended, s)
+}
+
+// forget drops a search. What was not written to a node by now never is.
+func (l *loop) forget(s *search) {
+	for i := range s.parts {
+		for _, t := range s.parts[i].tries {
+			if !t.Written() {
+				l.pool.Cancel(t)
+			}
+		}
+		delete(l.owners, s.id+1+uint64(i))
+	}
+	delete(l.searches, s.id)
+	delete(l.ids, s.ask.id)
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,210 @@
+// Package server is the real broker: clients on one side, nodes, discovery and other brokers on the other, and
+// between them the loop that alone calls the module. This file owns start and end: what is opened, in which order,
+// which limits bind, and how a planned stop goes. It must never drop a search that was taken in time.
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"flaxfront/broker"
+	"flaxfront/discovery"
+	"flaxfront/peers"
+	"flaxfront/store"
+	"flaxfront/terms"
+)
+
+// The protocol's times of a planned stop: new connections go on coming for 400 ms, and what comes later than 700 ms
+// must be answered before the kill. Between the two the broker stops taking more.
+const (
+	newConnsFor = 400 * time.Millisecond
+	mustAnswer  = 700 * time.Millisecond
+	stopTaking  = (newConnsFor + mustAnswer) / 2
+)
+
+// Of the descriptors some are kept for listeners and the runtime; nodes get a third of the others.
+const (
+	sparePart  = 16
+	nodesPart  = 3
+	memoryPart = 0.75 // of the cap, where the collector begins to work harder
+)
+
+// Server is one broker.
+type Server struct {
+	start    *terms.Start
+	loop     *loop
+	link     *peers.Link
+	listener net.Listener
+	clients  clients
+	group    *errgroup.Group
+	ctx      context.Context // of everything that serves
+	cancel   context.CancelFunc
+	serving  sync.WaitGroup // client connections
+	draining atomic.Bool
+	longest  time.Duration // that any client waits
+}
+
+// New makes a broker of its configuration; nothing is opened yet.
+func New(start *terms.Start, newModule func(broker.Terms) broker.Decider) (*Server, error) {
+	t := &start.Terms
+	s := &Server{start: start}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.group, s.ctx = errgroup.WithContext(ctx)
+	for i := range t.Module.Types {
+		if t.Module.Types[i].Fetch > 0 {
+			return nil, fmt.Errorf("configuration: settings: domain.fetchParts: %s has a second step, which the "+
+				"protocol has no form for", t.Types[i])
+		}
+		s.longest = max(s.longest, t.Module.Types[i].Timeout)
+	}
+	begin := time.Now()
+	s.loop = newLoop(begin, newModule(t.Module), &t.Module)
+	if _, _, err := s.known(); err != nil {
+		return nil, fmt.Errorf("configuration: known: %w", err)
+	}
+	return s, nil
+}
+
+// reader reads node lists in this broker's terms.
+func (s *Server) reader() discovery.Reader {
+	return discovery.Reader{Zones: s.start.Terms.Zones, Cells: s.start.Terms.Module.Cells, Start: s.loop.start}
+}
+
+// known is the list that the broker starts with, if any.
+func (s *Server) known() (*discovery.List, bool, error) {
+	if len(s.start.Known) == 0 || string(s.start.Known) == "null" {
+		return &discovery.List{}, false, nil
+	}
+	rd := s.reader()
+	list, err := rd.Decode(s.start.Known)
+	if err == nil {
+		list.Whole = true
+	}
+	return list, true, err
+}
+
+// Run serves until stop is told, then answers what it has and returns.
+func (s *Server) Run(stop <-chan struct{}) (err error) {
+	defer s.cancel()
+	l := s.start.Limits
+	runtime.GOMAXPROCS(max(1, int(math.Floor(l.Cores))))
+	debug.SetMemoryLimit(int64(memoryPart * float64(l.MemoryMB) * (1 << 20)))
+	t := &s.start.Terms
+	if s.listener, err = net.Listen("tcp", s.start.Listen.String()); err != nil {
+		return err
+	}
+	defer s.listener.Close()
+	if t.Module.Peers {
+		if s.link, err = peers.Listen(s.start.PeerListen, s.start.Peers, s.start.PeersAll, s.heard); err != nil {
+			return err
+		}
+		s.loop.tell = s.link.Tell
+	}
+	forNodes := max(1, (l.Sockets-sparePart)/nodesPart)
+	s.clients.all, s.clients.room = map[*client]bool{}, make(chan struct{}, 1)
+	s.clients.most = max(1, l.Sockets-sparePart-forNodes)
+	s.loop.pool = store.NewPool(s.ctx, store.Limits{Streams: t.Streams, Idle: t.Idle, Dial: t.Dial, Conns: forNodes},
+		s.loop.since, s.group.Go, func(e store.Event) { s.deliver(e) }, s.loop.subrequestEnded)
+	list, known, _ := s.known()
+	client := discovery.NewClient(s.start.Discovery.String(), s.reader(), t.AskEvery, list.Version, known,
+		func(list *discovery.List, err error) { s.deliver(listed{list, err}) })
+	s.loop.ask = client.Ask
+	s.loop.list(list, nil)
+	s.group.Go(func() error { return s.loop.run(s.ctx) })
+	s.group.Go(func() error { return client.Run(s.ctx) })
+	if s.link != nil {
+		s.group.Go(func() error { return s.link.Send(s.ctx) })
+		s.group.Go(func() error { return s.link.Hear(s.ctx) })
+	}
+	s.group.Go(func() error { return s.accept(s.ctx) })
+	slog.Info("serving", "name", s.start.Name, "at", s.listener.Addr(), "nodes", len(list.Nodes),
+		"clients", s.clients.most, "node_connections", forNodes)
+	select {
+	case <-stop:
+		s.drain()
+	case <-s.ctx.Done():
+	}
+	slog.Info("counters", "counters", s.Counters())
+	s.cancel()
+	s.listener.Close()
+	if err := s.group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// drain goes on serving for as long as clients may come, then until all that was taken is answered.
+func (s *Server) drain() {
+	slog.Info("stopping", "in_hand", s.Counters().Searches.InHand)
+	s.draining.Store(true)
+	select {
+	case <-time.After(stopTaking):
+	case <-s.ctx.Done():
+		return
+	}
+	s.listener.Close()
+	s.clients.closeIdle()
+	s.serving.Wait()
+}
+
+// deliver hands something to the loop and waits while its queue is full; false: it takes no more.
+func (s *Server) deliver(d any) bool {
+	select {
+	case s.loop.in <- d:
+		return true
+	case <-s.ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) heard(from int, text []byte) {
+	if from != s.start.Terms.Me {
+		s.deliver(said{from, text})
+	}
+}
+
+// Counters are what a broker counts.
+type Counters struct {
+	Searches Tally
+	Clients  struct{ Accepted, Closed, BadRequests, Unwritten uint64 }
+	Peers    struct{ Sent, Heard, Strangers, TooLong, Dropped uint64 }
+}
+
+// Counters asks the loop for its figures and adds the others.
+func (s *Server) Counters() (c Counters) {
+	r := report{make(chan Tally, 1)}
+	if s.deliver(r) {
+		select {
+		case c.Searches = <-r.to:
+		case <-s.ctx.Done():
+		}
+	}
+	cs := &s.clients
+	c.Clients.Accepted, c.Clients.Closed = cs.accepted.Load(), cs.closed.Load()
+	c.Clients.BadRequests, c.Clients.Unwritten = cs.refused.Load(), cs.unwritten.Load()
+	if s.link != nil {
+		p := &s.link.Counts
+		c.Peers.Sent, c.Peers.Heard, c.Peers.Strangers = p.Sent.Load(), p.Heard.Load(), p.Strangers.Load()
+		c.Peers.TooLong, c.Peers.Dropped = p.TooLong.Load(), p.Dropped.Load()
+	}
+	return c
+}
+
+// String is the counters as one line of JSON.
+func (c Counters) String() string {
+	text, _ := json.Marshal(c)
+	return string(text)
+}
--- a/simwire/host.go
+++ b/simwire/host.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"flaxfront/broker"
+	"flaxfront/terms"
 )
 
 // Layout of frames and records.
@@ -139,14 +140,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("NewInstance: setup: %w", err)
 	}
-	terms, err := DecodeTerms(string(text), be.Uint64(r[1:]))
+	t, err := terms.FromText(string(text), be.Uint64(r[1:]))
 	if err != nil {
 		return nil, fmt.Errorf("NewInstance: %w", err)
 	}
 	if old := h.brokers[number]; old != nil {
 		old.module = nil
 	}
-	b := &instance{number: number, start: clock, module: h.newModule(terms), touched: true}
+	b := &instance{number: number, start: clock, module: h.newModule(t.Module), touched: true}
 	h.brokers[number] = b
 	h.touched = append(h.touched, b)
 	return b, nil
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"flaxfront/broker"
+	"flaxfront/terms"
 )
 
 const setup = "classes.count=1\nclasses.0.aimNs=1000000000\nclasses.0.deadlineNs=2000000000\n" +
@@ -123,7 +124,7 @@
 		"domain.width=7", "classes.0.aimNs=soon", "registryMode=maybe", "permissions.cancel=si",
 		"domain.classFloor=1,2"} {
 		key, _, _ := strings.Cut(bad, "=")
-		if _, err := DecodeTerms(setup+bad, 1); err == nil || !strings.Contains(err.Error(), key) {
+		if _, err := terms.FromText(setup+bad, 1); err == nil || !strings.Contains(err.Error(), key) {
 			t.Errorf("%s: got %v", bad, err)
 		}
 	}
--- /dev/null
+++ b/store/frame.go
@@ -0,0 +1,92 @@
+package store
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+)
+
+// maxFrame bounds what a node may send in one frame.
+const maxFrame = 64 << 10
+
+// End tells how a node says that a part ended.
+type End uint8
+
+const (
+	Served End = iota
+	Broke
+	Skipped
+)
+
+// Answer is a node's answer to one part.
+type Answer struct {
+	ID    string
+	End   End
+	Value string
+}
+
+// appendCall encodes one call of some parts, each with the time that is still waited for it.
+func appendCall(b []byte, parts []*Part, now time.Duration) []byte {
+	at := len(b)
+	b = append(b, 0, 0, 0, 0, 'q')
+	for _, p := range parts {
+		wait := max(1, (p.Deadline - now).Milliseconds())
+		b = fmt.Appendf(b, "%s %d d=%d %d\n", p.ID, p.Shard, wait, len(p.Text))
+		b = append(b, p.Text...)
+	}
+	binary.LittleEndian.PutUint32(b[at:], uint32(len(b)-at-4))
+	return b
+}
+
+func appendCancel(b []byte, id string) []byte {
+	b = binary.LittleEndian.AppendUint32(b, uint32(1+len(id)))
+	return append(append(b, 'c'), id...)
+}
+
+// readFrame reads one frame into buf, which it may replace by a larger one.
+func readFrame(r *bufio.Reader, buf []byte) (letter byte, rest, next []byte, err error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return 0, nil, buf, err
+	}
+	n := binary.LittleEndian.Uint32(head[:])
+	if n < 1 || n > maxFrame {
+		return 0, nil, buf, fmt.Errorf("%w: length %d", errFrame, n)
+	}
+	if int(n) > cap(buf) {
+		buf = make([]byte, n)
+	}
+	buf = buf[:n]
+	if _, err := io.ReadFull(r, buf); err != nil {
+		return 0, nil, buf, io.ErrUnexpectedEOF
+	}
+	return buf[0], buf[1:], buf, nil
+}
+
+// parseAnswer reads what follows the letter of an answer.
+func parseAnswer(rest []byte) (a Answer, err error) {
+	line, value, ok := bytes.Cut(rest, []byte{'\n'})
+	words := bytes.Split(line, []byte{' '})
+	if !ok || len(words) != 4 || len(words[0]) == 0 {
+		return a, fmt.Errorf("%w: answer line %.60q", errFrame, line)
+	}
+	switch string(words[1]) {
+	case "served":
+		a.End = Served
+	case "broke":
+		a.End = Broke
+	case "skipped":
+		a.End = Skipped
+	default:
+		return a, fmt.Errorf("%w: end %.20q", errFrame, words[1])
+	}
+	if _, err := strconv.ParseFloat(string(words[2]), 64); err != nil && string(words[2]) != "-" {
+		return a, fmt.Errorf("%w: score %.20q", errFrame, words[2])
+	}
+	a.ID, a.Value = string(words[0]), string(value)
+	return a, nil
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,482 @@
+// Package store carries sub-requests to the nodes. It owns the connections: dialling, which parts are out on which
+// one, the end of those that idle, and how each part ended. One goroutine, the loop's, calls every method of Pool;
+// a goroutine a connection dials and reads, and only delivers. It must never choose a node, hold a part back or send
+// one twice, and it never waits for a socket: a node that does not take a frame at once loses the connection.
+package store
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+	"slices"
+	"syscall"
+	"time"
+
+	"flaxfront/broker"
+)
+
+var (
+	errFrame = errors.New("bad frame")
+	errStuck = errors.New("takes no more bytes")
+)
+
+// Part is one sub-request. The loop hands it over and gets it back, ended, exactly once.
+type Part struct {
+	ID       string // as the node is told it
+	Shard    int
+	Text     string
+	Deadline time.Duration // nobody waits beyond this
+	Sent     time.Duration // when it was handed over
+
+	Part    uint64 // what the module calls it
+	Attempt uint16
+	Node    broker.NodeID
+
+	conn    *conn
+	written bool
+	over    bool
+}
+
+// Limits bound the connections.
+type Limits struct {
+	Streams int           // parts a connection carries at once
+	Idle    time.Duration // nodes close a connection that idled so long
+	Dial    time.Duration
+	Conns   int // over all nodes
+}
+
+// Counts tell what went over the connections.
+type Counts struct {
+	Dials, Ended, Calls, Parts, Cancels uint64
+	Served, Broke, Skipped              uint64
+	Late                                uint64 // answers to parts that are not out: called off, twice, unknown
+	Bad                                 uint64 // frames that made no sense
+}
+
+// Event is what a connection's goroutine delivers to the loop.
+type Event struct {
+	conn   *conn
+	kind   eventKind
+	at     time.Duration
+	up     *net.TCPConn
+	answer Answer
+	err    error
+}
+
+type eventKind uint8
+
+const (
+	up eventKind = iota
+	answered
+	down
+)
+
+// Pool holds the connections to all nodes.
+type Pool struct {
+	Counts Counts
+	ctx    context.Context
+	limits Limits
+	since  func() time.Duration
+	start  func(func() error)
+	post   func(Event)
+	ended  func(p *Part, how broker.Outcome, at time.Duration, value string)
+	nodes  map[broker.NodeID]*node
+	order  []*node // as first listed
+	conns  int
+	buf    []byte
+}
+
+type node struct {
+	name  string
+	addr  netip.AddrPort
+	boot  time.Duration
+	conns []*conn
+}
+
+type conn struct {
+	node   *node
+	tcp    *net.TCPConn // nil until it is up
+	raw    syscall.RawConn
+	cancel context.CancelFunc
+	dialed time.Duration
+	last   time.Duration // when something last passed
+	out    map[string]*Part
+	queue  [][]*Part // calls that wait for the connection to come up; no more parts than streams
+	served int
+	reason string // why the loop closed it
+	closed bool
+}
+
+// NewPool makes a pool. Goroutines run under start and end with ctx; post delivers to the loop, ended tells it.
+func NewPool(ctx context.Context, limits Limits, since func() time.Duration, start func(func() error),
+	post func(Event), ended func(*Part, broker.Outcome, time.Duration, string)) *Pool {
+	return &Pool{ctx: ctx, limits: limits, since: since, start: start, post: post, ended: ended,
+		nodes: map[broker.NodeID]*node{}}
+}
+
+// Point tells where a node listens and when it started. What was opened to an older start or elsewhere is closed.
+func (p *Pool) Point(id broker.NodeID, name string, addr netip.AddrPort, boot time.Duration) {
+	n := p.nodes[id]
+	if n == nil {
+		n = &node{name: name, addr: addr, boot: boot}
+		p.nodes[id] = n
+		p.order = append(p.order, n)
+	}
+	if n.addr != addr {
+		n.addr = addr
+		p.closeWhere(n, "moved", func(c *conn) bool { return len(c.out) == 0 })
+	}
+	if boot > n.boot {
+		n.boot = boot
+		p.closeWhere(n, "restarted", func(c *conn) bool { return c.tcp != nil && c.dialed < boot })
+	}
+}
+
+// Send writes the parts to a node as one call.
+func (p *Pool) Send(id broker.NodeID, parts []*Part) {
+	n := p.nodes[id]
+	if n == nil {
+		p.end(parts, broker.NeverSent)
+		return
+	}
+	for {
+		c := p.choose(n, len(parts))
+		if c == nil {
+			p.end(parts, broker.ConnectFailed)
+			return
+		}
+		for _, part := range parts {
+			part.conn = c
+			c.out[part.ID] = part
+		}
+		if c.tcp == nil {
+			c.queue = append(c.queue, parts)
+			return
+		}
+		if err := p.call(c, parts); err == nil || errors.Is(err, errStuck) {
+			return
+		}
+		// The node had ended the connection before a byte was written: the parts go over another.
+	}
+}
+
+// choose finds a connection with room, one that is up if possible, or opens one.
+func (p *Pool) choose(n *node, parts int) *conn {
+	var best *conn
+	for _, c := range n.conns {
+		if len(c.out)+parts <= p.limits.Streams && (best == nil || best.tcp == nil && c.tcp != nil) {
+			best = c
+		}
+	}
+	if best != nil {
+		return best
+	}
+	if p.conns >= p.limits.Conns {
+		p.spare()
+	}
+	if p.conns < p.limits.Conns {
+		return p.dial(n)
+	}
+	for _, c := range n.conns { // its further parts wait unread at the node
+		if c.tcp != nil && (best == nil || len(c.out) < len(best.out)) {
+			best = c
+		}
+	}
+	return best
+}
+
+// spare closes the connection that has idled longest.
+func (p *Pool) spare() {
+	var oldest *conn
+	for _, n := range p.order {
+		for _, c := range n.conns {
+			if len(c.out) == 0 && (oldest == nil || c.last < oldest.last) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		p.close(oldest, "spare")
+	}
+}
+
+func (p *Pool) dial(n *node) *conn {
+	ctx, cancel := context.WithCancel(p.ctx)
+	c := &conn{node: n, cancel: cancel, dialed: p.since(), out: map[string]*Part{}}
+	c.last = c.dialed
+	n.conns = append(n.conns, c)
+	p.conns++
+	p.Counts.Dials++
+	addr := n.addr.String()
+	p.start(func() error {
+		defer cancel()
+		p.read(ctx, c, addr)
+		return nil
+	})
+	return c
+}
+
+// read is a connection's goroutine: it dials, then delivers every answer and at last the end.
+func (p *Pool) read(ctx context.Context, c *conn, addr string) {
+	d := net.Dialer{Timeout: p.limits.Dial, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.post(Event{conn: c, kind: down, at: p.since(), err: err})
+		return
+	}
+	tcp := nc.(*net.TCPConn)
+	defer tcp.Close()
+	stop := context.AfterFunc(ctx, func() { tcp.Close() })
+	defer stop()
+	p.post(Event{conn: c, kind: up, at: p.since(), up: tcp})
+	r := bufio.NewReaderSize(tcp, 4<<10)
+	var buf []byte
+	for {
+		var letter byte
+		var rest []byte
+		letter, rest, buf, err = readFrame(r, buf)
+		at := p.since()
+		if err == nil && letter == 'a' {
+			var a Answer
+			if a, err = parseAnswer(rest); err == nil {
+				p.post(Event{conn: c, kind: answered, at: at, answer: a})
+				continue
+			}
+		} else if err == nil && letter == 'e' {
+			err = &refusal{string(rest[:min(len(rest), 120)])}
+		} else if err == nil {
+			err = errFrame
+		}
+		p.post(Event{conn: c, kind: down, at: at, err: err})
+		return
+	}
+}
+
+// refusal is a node's word that it could not use a frame.
+type refusal struct{ words string }
+
+func (r *refusal) Error() string { return "node: " + r.words }
+
+// Handle takes what a connection's goroutine delivered.
+func (p *Pool) Handle(e Event) {
+	c := e.conn
+	switch e.kind {
+	case up:
+		if c.closed {
+			return
+		}
+		c.tcp, c.last = e.up, e.at
+		c.raw, _ = e.up.SyscallConn()
+		queue := c.queue
+		c.queue = nil
+		for _, parts := range queue {
+			parts = slices.DeleteFunc(parts, func(part *Part) bool { return part.over })
+			if len(parts) > 0 && !c.closed {
+				p.call(c, parts)
+			}
+		}
+	case answered:
+		part := c.out[e.answer.ID]
+		if part == nil {
+			p.Counts.Late++
+			return
+		}
+		c.last = e.at
+		c.served++
+		how := broker.OK
+		switch e.answer.End {
+		case Served:
+			p.Counts.Served++
+		case Broke:
+			p.Counts.Broke++
+			how = broker.Errored
+		case Skipped:
+			p.Counts.Skipped++
+			how = broker.Refused
+		}
+		p.finish(part, how, e.at, e.answer.Value)
+	case down:
+		reason := c.reason
+		if !c.closed {
+			reason = why(e.err, c.tcp != nil)
+			if errors.Is(e.err, errFrame) {
+				p.Counts.Bad++
+			}
+			p.drop(c, e.at)
+		}
+		p.Counts.Ended++
+		slog.Info("node connection ended", "node", c.node.name, "reason", reason, "answers", c.served,
+			"lasted", (e.at - c.dialed).Round(time.Millisecond))
+	}
+}
+
+// why gives the reason code of an end that the loop did not ask for.
+func why(err error, wasUp bool) string {
+	var refused *refusal
+	var timeout net.Error
+	switch {
+	case errors.Is(err, errFrame):
+		return "bad_frame"
+	case errors.As(err, &refused):
+		return "node_error"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case !wasUp && errors.As(err, &timeout) && timeout.Timeout():
+		return "dial_timeout"
+	case !wasUp:
+		return "dial_failed"
+	case errors.Is(err, syscall.ECONNRESET):
+		return "reset"
+	default:
+		return "closed_by_node"
+	}
+}
+
+// call writes one frame at once, or ends the connection.
+func (p *Pool) call(c *conn, parts []*Part) error {
+	now := p.since()
+	p.buf = appendCall(p.buf[:0], parts, now)
+	err := c.write(p.buf)
+	if err == nil {
+		c.last = now
+		p.Counts.Calls++
+		p.Counts.Parts += uint64(len(parts))
+		for _, part := range parts {
+			part.written = true
+		}
+		return nil
+	}
+	if !errors.Is(err, errStuck) {
+		for _, part := range parts {
+			delete(c.out, part.ID)
+		}
+		p.close(c, "write_failed")
+		return err
+	}
+	p.close(c, "stuck")
+	return err
+}
+
+// write hands bytes to the socket without waiting; a part of them is as good as none.
+func (c *conn) write(b []byte) (err error) {
+	n := 0
+	if e := c.raw.Write(func(fd uintptr) bool {
+		for {
+			if n, err = syscall.Write(int(fd), b); err != syscall.EINTR {
+				return true
+			}
+		}
+	}); e != nil {
+		return e
+	}
+	if err == syscall.EAGAIN || err == nil && n < len(b) {
+		return errStuck
+	}
+	return err
+}
+
+// Cancel gives a part up and tells its node; nothing of it is written from then on.
+func (p *Pool) Cancel(part *Part) {
+	if part.over {
+		return
+	}
+	c, told := part.conn, part.written
+	p.finish(part, broker.Cancelled, p.since(), "")
+	if told && !c.closed {
+		p.Counts.Cancels++
+		p.buf = appendCancel(p.buf[:0], part.ID)
+		if err := c.write(p.buf); err != nil {
+			p.close(c, "write_failed")
+		}
+	}
+}
+
+// CloseIdle ends the connections to a node that carry nothing.
+func (p *Pool) CloseIdle(id broker.NodeID, reason string) {
+	if n := p.nodes[id]; n != nil {
+		p.closeWhere(n, reason, func(c *conn) bool { return len(c.out) == 0 })
+	}
+}
+
+// Sweep ends what is due: parts nobody waits for any more and connections that idled. It tells when to come again.
+func (p *Pool) Sweep(now time.Duration) (next time.Duration) {
+	next = now + p.limits.Idle
+	for _, n := range p.order {
+		for _, c := range slices.Clone(n.conns) {
+			for _, part := range c.out {
+				if part.Deadline <= now {
+					p.finish(part, broker.TimedOut, now, "")
+				} else {
+					next = min(next, part.Deadline)
+				}
+			}
+			// Before the node does it: a part that crosses the node's close would be lost.
+			if end := c.last + p.limits.Idle - p.limits.Dial; len(c.out) > 0 {
+				continue
+			} else if end <= now {
+				p.close(c, "idle")
+			} else {
+				next = min(next, end)
+			}
+		}
+	}
+	return next
+}
+
+func (p *Pool) closeWhere(n *node, reason string, which func(*conn) bool) {
+	for _, c := range slices.Clone(n.conns) {
+		if which(c) {
+			p.close(c, reason)
+		}
+	}
+}
+
+// close ends a connection for the loop's own reasons.
+func (p *Pool) close(c *conn, reason string) {
+	if !c.closed {
+		c.reason = reason
+		p.drop(c, p.since())
+		c.cancel()
+	}
+}
+
+// drop takes a connection off the books; its parts end as the protocol says.
+func (p *Pool) drop(c *conn, at time.Duration) {
+	c.closed = true
+	p.conns--
+	c.node.conns = slices.DeleteFunc(c.node.conns, func(o *conn) bool { return o == c })
+	for _, part := range c.out {
+		if part.written {
+			p.finish(part, broker.Reset, at, "")
+		} else {
+			p.finish(part, broker.ConnectFailed, at, "")
+		}
+	}
+}
+
+// end gives parts back that were never on a connection.
+func (p *Pool) end(parts []*Part, how broker.Outcome) {
+	for _, part := range parts {
+		p.finish(part, how, p.since(), "")
+	}
+}
+
+func (p *Pool) finish(part *Part, how broker.Outcome, at time.Duration, value string) {
+	part.over = true
+	if part.conn != nil && part.conn.out[part.ID] == part {
+		delete(part.conn.out, part.ID)
+	}
+	p.ended(part, how, at, value)
+}
+
+// Over tells whether a part has ended.
+func (part *Part) Over() bool { return part.over }
+
+// Written tells whether a part's last byte has left for its node.
+func (part *Part) Written() bool { return part.written }
+
+// Open tells how many connections there are.
+func (p *Pool) Open() int { return p.conns }
--- /dev/null
+++ b/terms/start.go
@@ -0,0 +1,90 @@
+package terms
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+)
+
+// Limits are what the platform lets one broker use.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Start is the configuration file, read and checked.
+type Start struct {
+	Name       string
+	Listen     netip.AddrPort
+	Discovery  netip.AddrPort
+	PeerListen netip.AddrPort // not valid: brokers do not talk
+	Peers      []netip.AddrPort
+	PeersAll   netip.AddrPort
+	Limits     Limits
+	Known      json.RawMessage // the node list as last held, in discovery's form
+	Terms      Terms
+}
+
+// ReadStart reads the configuration file; an error names the field at fault.
+func ReadStart(path string) (*Start, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return DecodeStart(raw)
+}
+
+// DecodeStart reads the text of a configuration file.
+func DecodeStart(raw []byte) (*Start, error) {
+	var file struct {
+		Name       string          `json:"name"`
+		Listen     string          `json:"listen"`
+		Discovery  string          `json:"discovery"`
+		Seed       string          `json:"seed"`
+		Limits     Limits          `json:"limits"`
+		PeerListen string          `json:"peer_listen"`
+		Peers      []string        `json:"peers"`
+		PeersAll   string          `json:"peers_all"`
+		Known      json.RawMessage `json:"known"`
+		Settings   json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(raw, &file); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if len(file.Settings) == 0 {
+		return nil, fmt.Errorf("configuration: settings: missing")
+	}
+	s := &Start{Name: file.Name, Limits: file.Limits, Known: file.Known}
+	seed, err := strconv.ParseUint(file.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: seed: %q is no hexadecimal number", file.Seed)
+	}
+	if l := s.Limits; l.Cores <= 0 || l.MemoryMB <= 0 || l.Sockets <= 0 {
+		return nil, fmt.Errorf("configuration: limits: %+v: each must be above 0", l)
+	}
+	if s.Terms, err = FromJSON(file.Settings, seed); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	address := func(field, text string) (at netip.AddrPort) {
+		if err == nil {
+			if at, err = netip.ParseAddrPort(text); err != nil {
+				err = fmt.Errorf("configuration: %s: %q is no address with a port", field, text)
+			}
+		}
+		return at
+	}
+	s.Listen, s.Discovery = address("listen", file.Listen), address("discovery", file.Discovery)
+	if s.Terms.Module.Peers {
+		s.PeerListen, s.PeersAll = address("peer_listen", file.PeerListen), address("peers_all", file.PeersAll)
+		for i, text := range file.Peers {
+			s.Peers = append(s.Peers, address(fmt.Sprintf("peers.%d", i), text))
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
--- a/simwire/setup.go
+++ b/terms/terms.go
@@ -1,7 +1,14 @@
-package simwire
+// Package terms reads what a broker is told at its start. It owns the one decoding of the settings object, which
+// the simulator writes as path=value lines and the platform as nested JSON, and the configuration file round it.
+// It must never decide anything, fill in a figure of its own, or let a setting through that it could not read.
+package terms
 
 import (
+	"bytes"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"math"
 	"strconv"
 	"strings"
@@ -10,24 +17,44 @@
 	"flaxfront/broker"
 )
 
-// pairs reads the path=value lines; the first fault is kept and names its key.
+// Terms are the settings: the module's, and those that only a front on sockets needs.
+type Terms struct {
+	Module   broker.Terms
+	Types    []string // names, in the order of Module.Types
+	Tenants  []string
+	Zones    []string
+	Shards   int
+	Streams  int           // sub-requests that a connection carries at once
+	Idle     time.Duration // a node closes a connection that stood idle for so long
+	Dial     time.Duration // a connection that is not up by then has failed
+	AskEvery time.Duration // the longest a broker may go without hearing from discovery
+	Me       int           // its number among the peers
+}
+
+// pairs holds each path with its value or values; the first fault is kept and names its key.
 type pairs struct {
-	m   map[string]string
-	err error
+	m       map[string][]string
+	sockets bool // what only sockets need must be there too
+	err     error
 }
 
 func (p *pairs) fail(key, format string, args ...any) {
 	if p.err == nil {
-		p.err = fmt.Errorf("setup: %s: %s", key, fmt.Sprintf(format, args...))
+		p.err = fmt.Errorf("settings: %s: %s", key, fmt.Sprintf(format, args...))
 	}
 }
 
 func (p *pairs) text(key string, need bool) string {
 	v, ok := p.m[key]
-	if !ok && need {
+	switch {
+	case !ok && need:
 		p.fail(key, "missing")
+	case len(v) > 1:
+		p.fail(key, "%d values for one", len(v))
+	case ok:
+		return v[0]
 	}
-	return v
+	return ""
 }
 
 func (p *pairs) num(key string, need bool, fallback float64) float64 {
@@ -43,7 +70,7 @@
 
 func (p *pairs) parse(key, v string) float64 {
 	f, err := strconv.ParseFloat(v, 64)
-	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || f < 0 || f > 1<<62 {
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || f < 0 || f > 1<<60 {
 		p.fail(key, "%q is no number in range", v)
 		return 0
 	}
@@ -81,11 +108,10 @@
 	for i := range out {
 		out[i] = fallback
 	}
-	v, ok := p.m[key]
+	items, ok := p.m[key]
 	if !ok {
 		return out
 	}
-	items := strings.Split(v, ",")
 	if len(items) != n {
 		p.fail(key, "%d values for %d classes", len(items), n)
 		return out
@@ -100,24 +126,91 @@
 func (p *pairs) size(key string, need bool) int {
 	n := p.count(key, need, 0)
 	if n > len(p.m) {
-		p.fail(key, "%d items, but the setup holds %d lines", n, len(p.m))
+		p.fail(key, "%d items, but the settings hold %d entries", n, len(p.m))
 		return 0
 	}
 	return n
 }
 
-// DecodeTerms reads a setup text into Terms.
-func DecodeTerms(setup string, seed uint64) (broker.Terms, error) {
-	p := &pairs{m: map[string]string{}}
+// positive is a number that must be there and above nothing where sockets need it.
+func (p *pairs) positive(key string) float64 {
+	f := p.num(key, p.sockets, 1)
+	if f <= 0 {
+		p.fail(key, "%v is not above 0", f)
+	}
+	return f
+}
+
+// FromText reads the simulator's path=value lines.
+func FromText(setup string, seed uint64) (Terms, error) {
+	p := &pairs{m: map[string][]string{}}
 	for line := range strings.SplitSeq(setup, "\n") {
 		if line = strings.TrimSpace(line); line == "" {
 			continue
 		}
 		key, value, ok := strings.Cut(line, "=")
 		if !ok {
-			return broker.Terms{}, fmt.Errorf("setup: line %.60q has no '='", line)
+			return Terms{}, fmt.Errorf("settings: line %.60q has no '='", line)
 		}
-		p.m[key] = value
+		p.m[key] = strings.Split(value, ",")
+	}
+	return p.terms(seed), p.err
+}
+
+// FromJSON reads the nested form that a front on sockets is given.
+func FromJSON(raw []byte, seed uint64) (Terms, error) {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	var tree map[string]any
+	if err := d.Decode(&tree); err != nil {
+		return Terms{}, fmt.Errorf("settings: %w", err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return Terms{}, errors.New("settings: something follows the object")
+	}
+	p := &pairs{m: map[string][]string{}, sockets: true}
+	p.flatten("", tree)
+	return p.terms(seed), p.err
+}
+
+// flatten lays a tree out as the simulator does: a list of objects has its length under .count.
+func (p *pairs) flatten(path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for key, below := range v {
+			if path != "" {
+				key = path + "." + key
+			}
+			p.flatten(key, below)
+		}
+	case []any:
+		plain := []string{}
+		for i, item := range v {
+			if _, object := item.(map[string]any); object {
+				p.flatten(fmt.Sprintf("%s.%d", path, i), item)
+			} else {
+				plain = append(plain, fmt.Sprint(item))
+			}
+		}
+		p.m[path], p.m[path+".count"] = plain, []string{strconv.Itoa(len(v))}
+	case nil:
+	default:
+		p.m[path] = []string{fmt.Sprint(v)}
+	}
+}
+
+func (p *pairs) terms(seed uint64) Terms {
+	f := Terms{
+		Zones:    p.m["azs"],
+		Shards:   p.count("domain.slices", p.sockets, 0),
+		Streams:  max(1, int(p.positive("permissions.multiplex"))),
+		Idle:     time.Duration(p.positive("permissions.connIdleNs")),
+		Dial:     time.Duration(p.positive("permissions.connectTimeoutNs")),
+		AskEvery: time.Duration(p.positive("safety.askWithinNs")),
+		Me:       p.count("me", false, 0),
+	}
+	if p.sockets && (len(f.Zones) == 0 || f.Shards == 0) {
+		p.fail("azs", "%d zones, %d of domain.slices", len(f.Zones), f.Shards)
 	}
 	t := broker.Terms{
 		Seed:         seed,
@@ -154,6 +247,7 @@
 	case "ask":
 		t.AskList = true
 	case "", "push":
+		t.AskList = p.sockets // discovery on sockets tells only those who ask
 	default:
 		p.fail("registryMode", "unknown form %q", mode)
 	}
@@ -182,14 +276,20 @@
 		default:
 			p.fail(at+"effect", "unknown form %q", effect)
 		}
+		if p.sockets && (c.Target <= 0 || c.Timeout < c.Target) {
+			p.fail(at+"aimNs", "%v, with a client timeout of %v", c.Target, c.Timeout)
+		}
 		t.Types = append(t.Types, c)
+		f.Types = append(f.Types, p.text(at+"name", p.sockets))
 	}
 	for i := range p.size("realms.count", false) {
 		at := fmt.Sprintf("realms.%d.", i)
+		f.Tenants = append(f.Tenants, p.text(at+"name", p.sockets))
 		t.Tenants = append(t.Tenants, broker.Tenant{
 			Portion: p.num(at+"portion", true, 0),
 			Quota:   p.num(at+"quotaPerS", false, 0),
 		})
 	}
-	return t, p.err
+	f.Module = t
+	return f
 }
