--- a/cmd/flaxfront/main.go
+++ b/cmd/flaxfront/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -82,10 +83,15 @@
 
 func serve(config string) error {
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	_, s, err := load(config)
+	start, s, err := load(config)
+	if err == nil {
+		err = s.Open()
+	}
 	if err != nil {
 		return err
 	}
+	runtime.GOMAXPROCS(max(1, int(start.Limits.Cores)))
+	debug.SetMemoryLimit(int64(start.Limits.MemoryMB) << 20 / 4 * 3) // from there on the collector works harder
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	stop := make(chan struct{})
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"log/slog"
 	"net"
 	"net/netip"
 	"slices"
@@ -130,6 +131,7 @@
 	ask    chan struct{}
 	conn   net.Conn
 	in     *bufio.Reader
+	calls  int // on this connection
 	buf    []byte
 }
 
@@ -150,7 +152,7 @@
 
 // Run carries out what is asked until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
-	defer c.hangUp()
+	defer c.hangUp("shutdown")
 	for {
 		select {
 		case <-ctx.Done():
@@ -164,7 +166,7 @@
 			}
 			c.tell(list, err)
 			if err != nil {
-				c.hangUp()
+				c.hangUp("call_failed")
 				break
 			}
 		}
@@ -188,7 +190,7 @@
 		return nil, fmt.Errorf("discovery: status %d", m.Status)
 	}
 	if m.Close {
-		c.hangUp()
+		c.hangUp("last_answer")
 	}
 	list, err := c.reader.Decode(m.Body)
 	if err != nil {
@@ -213,6 +215,7 @@
 		c.conn, c.in = conn, httpwire.NewReader(conn)
 	}
 	conn := c.conn
+	c.calls++
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	c.buf = httpwire.AppendRequest(c.buf[:0], "GET", target, c.addr)
@@ -222,9 +225,11 @@
 	return httpwire.ReadResponse(c.in)
 }
 
-func (c *Client) hangUp() {
+func (c *Client) hangUp(reason string) {
 	if c.conn != nil {
 		c.conn.Close()
 		c.conn = nil
+		slog.Info("discovery connection ended", "reason", reason, "calls", c.calls)
+		c.calls = 0
 	}
 }
--- /dev/null
+++ b/discovery/discovery_test.go
@@ -0,0 +1,139 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"flaxfront/broker"
+	"flaxfront/httpwire"
+)
+
+var start = time.UnixMilli(1_000_000)
+
+func reader() Reader { return Reader{Zones: []string{"a", "b"}, Cells: 3, Start: start} }
+
+func list(version int, whole bool, lines ...string) string {
+	return fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[%s]}`, version, whole, strings.Join(lines, ","))
+}
+
+func line(name, addr, state string, started int) string {
+	return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"b","machineType":"m","cell":2,"lifecycle":%q,`+
+		`"weight":1.0,"startedAtMs":%d}`, name, addr, state, started)
+}
+
+func TestDecode(t *testing.T) {
+	rd := reader()
+	got, err := rd.Decode([]byte(list(41, true, line("s-1", "10.0.0.1:80", "in_service", 0),
+		line("s-2", "10.0.0.2:80", "terminating", 1_002_500), line("s-3", "", "terminated", 0))))
+	if err != nil || got.Version != 41 || !got.Whole || len(got.Nodes) != 3 {
+		t.Fatalf("%v, %+v", err, got)
+	}
+	n := got.Nodes[0]
+	want := broker.Entry{Node: ID("s-1"), Cell: 2, Zone: 1, State: broker.Ready, Boot: broker.NoBoot}
+	if n.Entry != want || n.Addr != netip.MustParseAddrPort("10.0.0.1:80") {
+		t.Errorf("read as %+v", n)
+	}
+	if e := got.Nodes[1].Entry; e.State != broker.Draining || e.Boot != 2500*time.Millisecond {
+		t.Errorf("read as %+v", e)
+	}
+	// One bad line spoils the list: half a list may hide a drain.
+	for _, bad := range []string{"", "[]", `{"instances":[]}`, list(1, true, line("s-1", "here", "in_service", 0)),
+		list(1, true, line("", "10.0.0.1:80", "in_service", 0)), list(1, true, line("s-1", "10.0.0.1:80", "asleep", 0)),
+		list(1, true, line("s-1", "10.0.0.1:80", "in_service", -1)), list(1, true, strings.Replace(
+			line("s-1", "10.0.0.1:80", "in_service", 0), `"cell":2`, `"cell":3`, 1))} {
+		if got, err := rd.Decode([]byte(bad)); err == nil {
+			t.Errorf("%.60q read as %+v", bad, got)
+		}
+	}
+}
+
+// Brokers see a node at different addresses, yet must mean the same node when they speak of it.
+func TestIDComesOfTheName(t *testing.T) {
+	if ID("s-5be2a07c") != ID("s-5be2a07c") || ID("s-5be2a07c") == ID("s-5be2a07d") {
+		t.Error("ids do not follow names")
+	}
+}
+
+// Every ask gets one answer or more; a failure ends the watch, and an unreadable or older list leads to a whole one.
+func TestWatch(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	replies := []string{list(41, true), list(43, false), "503", "reset", list(42, false), "garbled", list(44, true)}
+	asked := make(chan string, 100)
+	go func() {
+		next := 0
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			in := httpwire.NewReader(conn)
+			for {
+				m, err := httpwire.ReadRequest(in)
+				if err != nil || next == len(replies) {
+					break
+				}
+				asked <- m.Query
+				reply := replies[next]
+				next++
+				if reply == "reset" {
+					break
+				}
+				status := 200
+				if reply == "503" {
+					status = 503
+				}
+				conn.Write(httpwire.AppendResponse(nil, status, false, []byte(reply)))
+			}
+			conn.Close()
+		}
+	}()
+	told := make(chan string, 100)
+	c := NewClient(ln.Addr().String(), reader(), 10*time.Second, 40, true, func(l *List, err error) {
+		if err != nil {
+			told <- "failed"
+		} else {
+			told <- fmt.Sprint(l.Version)
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- c.Run(ctx) }()
+	for _, step := range [][2]string{{"index=40&wait=10000", "41"}, {"index=41&wait=10000", "43"},
+		{"index=43&wait=10000", "failed"}, {"index=43&wait=10000", "failed"}, {"index=43&wait=10000", "failed"},
+		{"", "failed"}, {"", "44"}} {
+		c.Ask() // where a watch is held this asks for nothing more
+		if got := <-asked; got != step[0] {
+			t.Errorf("asked %q, want %q", got, step[0])
+		}
+		if got := <-told; got != step[1] {
+			t.Errorf("told %s, want %s", got, step[1])
+		}
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(list(41, true, line("s-1", "10.0.0.1:80", "in_service", 5))))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		rd := reader()
+		if l, err := rd.Decode(raw); err == nil {
+			for _, n := range l.Nodes {
+				if n.Name == "" || n.Entry.Cell >= 3 || !n.Addr.IsValid() && n.Entry.State != broker.Gone {
+					t.Errorf("let through %+v", n)
+				}
+			}
+		}
+	})
+}
--- a/server/ask.go
+++ b/server/ask.go
@@ -1,7 +1,7 @@
 package server
 
-// This file owns the meaning of the client protocol: a request's headers and body become one small typed value, once,
-// and a verdict becomes one response, once. It must never touch a connection or the module, nor let through what the
+// This file owns the meaning of the client protocol: a request's headers and body become one ask, once, and a verdict
+// becomes one response, once. It must never touch a connection or the module, nor let through what the
 // protocol does not allow.
 
 import (
@@ -23,23 +23,6 @@
 	weightsSumSlip = 0.01
 )
 
-// ask is a search as its client asked it.
-type ask struct {
-	id      string
-	typ     int
-	tenant  int
-	repeat  bool
-	timeout time.Duration
-	text    string
-	parts   []askPart
-}
-
-type askPart struct {
-	name   string // the search's id, a dot, the shard
-	shard  int
-	weight float64
-}
-
 // refusal is a request that can't be taken.
 type refusal struct {
 	status int
--- a/server/client.go
+++ b/server/client.go
@@ -50,15 +50,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	if len(cs.all) >= cs.most {
-		var oldest *client
-		for o := range cs.all {
-			if !o.idle.IsZero() && o.ended == "" && (oldest == nil || o.idle.Before(oldest.idle)) {
-				oldest = o
-			}
-		}
-		if oldest != nil {
-			oldest.end("spare")
-		}
+		cs.spare()
 		return false
 	}
 	cs.all[c] = true
@@ -66,6 +58,19 @@
 	return true
 }
 
+// spare closes the connection that idled longest. The caller holds mu.
+func (cs *clients) spare() {
+	var oldest *client
+	for c := range cs.all {
+		if !c.idle.IsZero() && c.ended == "" && (oldest == nil || c.idle.Before(oldest.idle)) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		oldest.end("spare")
+	}
+}
+
 // end wakes the connection's reader, which then closes it. The caller holds mu.
 func (c *client) end(reason string) {
 	c.ended = reason
@@ -117,13 +122,17 @@
 
 // accept takes connections until the listener is closed.
 func (s *Server) accept(ctx context.Context) error {
+	defer close(s.accepted)
 	for {
 		conn, err := s.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		if err != nil { // such as no descriptor left: idle ones go, and the kernel keeps the others waiting
+		if err != nil { // such as no descriptor left: an idle one goes, and the kernel keeps the others waiting
 			slog.Warn("accept failed", "error", err)
+			s.clients.mu.Lock()
+			s.clients.spare()
+			s.clients.mu.Unlock()
 			if !s.waitForRoom(ctx) {
 				return nil
 			}
@@ -213,7 +222,11 @@
 	var err error
 	switch m.Path {
 	case "/up", "/alive":
-		err = s.write(c, httpwire.AppendResponse(c.out[:0], 200, last, []byte("ok\n")))
+		status := 200
+		if m.Path == "/up" && s.draining.Load() {
+			status = 503 // no front should take this broker in now
+		}
+		err = s.write(c, httpwire.AppendResponse(c.out[:0], status, last, nil))
 	case "/counters":
 		text, _ := json.Marshal(s.Counters())
 		err = s.write(c, httpwire.AppendResponse(c.out[:0], 200, last, append(text, '\n'),
--- a/server/loop.go
+++ b/server/loop.go
@@ -18,6 +18,23 @@
 // kernel and the network slows down whoever sends them.
 const queueDepth = 1024
 
+// ask is a search as a front hands it over, whatever its protocol.
+type ask struct {
+	id      string
+	typ     int
+	tenant  int
+	repeat  bool
+	timeout time.Duration
+	text    string
+	parts   []askPart
+}
+
+type askPart struct {
+	name   string // the search's id, a dot, the shard
+	shard  int
+	weight float64
+}
+
 // search is one search in hand. The first fields are its life's, the others the loop's.
 type search struct {
 	*ask
@@ -93,9 +110,9 @@
 	batch    int
 	in       chan any
 	pool     *store.Pool
-	ask      func()            // ask discovery
-	tell     func(text string) // to the other brokers
-	names    map[broker.NodeID]string
+	ask      func()                           // ask discovery
+	tell     func(text string)                // to the other brokers
+	nodes    map[broker.NodeID]discovery.Node // as last listed
 	serial   uint64
 	next     uint64
 	places   int
@@ -119,7 +136,7 @@
 
 func newLoop(start time.Time, module broker.Decider, t *broker.Terms) *loop {
 	return &loop{start: start, module: module, maxOpen: t.MaxOpen, batch: t.BatchParts,
-		in: make(chan any, queueDepth), names: map[broker.NodeID]string{}, next: 1,
+		in: make(chan any, queueDepth), nodes: map[broker.NodeID]discovery.Node{}, next: 1,
 		searches: map[uint64]*search{}, owners: map[uint64]*search{}, ids: map[string]bool{},
 		ask: func() {}, tell: func(string) {}}
 }
@@ -199,7 +216,7 @@
 		l.events = append(l.events, broker.Event{Kind: broker.PeerSaid, From: uint32(d.from), Text: d.text})
 	case report:
 		t := l.tally
-		t.InHand, t.Store, t.NodeConns = uint64(len(l.searches)), l.pool.Counts, l.pool.Open()
+		t.Store, t.NodeConns = l.pool.Counts, l.pool.Open()
 		d.to <- t
 	}
 }
@@ -221,6 +238,7 @@
 		s.verdict <- verdict{kind: shed}
 		return
 	}
+	l.tally.InHand++
 	s.id = l.next
 	l.next += 1 + uint64(n)
 	l.places += 1 + n
@@ -253,18 +271,22 @@
 	for i := range list.Nodes {
 		n := &list.Nodes[i]
 		id := n.Entry.Node
-		if other, known := l.names[id]; known && other != n.Name {
-			slog.Error("two nodes share an id", "node", n.Name, "other", other)
+		last, known := l.nodes[id]
+		if known && last.Name != n.Name {
+			slog.Error("two nodes share an id", "node", n.Name, "other", last.Name)
 			continue
 		}
-		l.names[id] = n.Name
+		l.nodes[id] = *n
 		e.Entries = append(e.Entries, n.Entry)
 		if n.Entry.State == broker.Gone {
 			l.pool.CloseIdle(id, "gone")
 		} else {
 			l.pool.Point(id, n.Name, n.Addr, n.Entry.Boot)
 		}
-		slog.Info("node listed", "node", n.Name, "id", id, "state", n.Entry.State, "zone", n.Entry.Zone)
+		if !known || last != *n {
+			slog.Info("node listed", "node", n.Name, "id", id, "addr", n.Addr, "state", n.Entry.State,
+				"zone", n.Entry.Zone, "cell", n.Entry.Cell)
+		}
 	}
 	l.events = append(l.events, e)
 }
@@ -404,6 +426,7 @@
 // finish marks a search as over; it is forgotten once the actions of its last turn are carried out.
 func (l *loop) finish(s *search) {
 	s.over = true
+	l.tally.InHand--
 	l.places -= 1 + len(s.parts)
 	l.ended = append(l.ended, s)
 }
--- a/server/server.go
+++ b/server/server.go
@@ -9,10 +9,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"net"
-	"runtime"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,9 +33,8 @@
 
 // Of the descriptors some are kept for listeners and the runtime; nodes get a third of the others.
 const (
-	sparePart  = 16
-	nodesPart  = 3
-	memoryPart = 0.75 // of the cap, where the collector begins to work harder
+	spareSockets = 16
+	nodesPart    = 3
 )
 
 // Server is one broker.
@@ -52,6 +48,7 @@
 	ctx      context.Context // of everything that serves
 	cancel   context.CancelFunc
 	serving  sync.WaitGroup // client connections
+	accepted chan struct{}  // closed when no more of them come
 	draining atomic.Bool
 	longest  time.Duration // that any client waits
 }
@@ -59,7 +56,7 @@
 // New makes a broker of its configuration; nothing is opened yet.
 func New(start *terms.Start, newModule func(broker.Terms) broker.Decider) (*Server, error) {
 	t := &start.Terms
-	s := &Server{start: start}
+	s := &Server{start: start, accepted: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.group, s.ctx = errgroup.WithContext(ctx)
@@ -70,8 +67,7 @@
 		}
 		s.longest = max(s.longest, t.Module.Types[i].Timeout)
 	}
-	begin := time.Now()
-	s.loop = newLoop(begin, newModule(t.Module), &t.Module)
+	s.loop = newLoop(time.Now(), newModule(t.Module), &t.Module)
 	if _, _, err := s.known(); err != nil {
 		return nil, fmt.Errorf("configuration: known: %w", err)
 	}
@@ -96,28 +92,31 @@
 	return list, true, err
 }
 
-// Run serves until stop is told, then answers what it has and returns.
-func (s *Server) Run(stop <-chan struct{}) (err error) {
-	defer s.cancel()
-	l := s.start.Limits
-	runtime.GOMAXPROCS(max(1, int(math.Floor(l.Cores))))
-	debug.SetMemoryLimit(int64(memoryPart * float64(l.MemoryMB) * (1 << 20)))
-	t := &s.start.Terms
+// Open opens what the broker listens on. It serves nothing yet.
+func (s *Server) Open() (err error) {
 	if s.listener, err = net.Listen("tcp", s.start.Listen.String()); err != nil {
 		return err
 	}
-	defer s.listener.Close()
-	if t.Module.Peers {
+	if s.start.Terms.Module.Peers {
 		if s.link, err = peers.Listen(s.start.PeerListen, s.start.Peers, s.start.PeersAll, s.heard); err != nil {
+			s.listener.Close()
 			return err
 		}
 		s.loop.tell = s.link.Tell
 	}
-	forNodes := max(1, (l.Sockets-sparePart)/nodesPart)
+	return nil
+}
+
+// Run serves until stop is told, then answers what it has and returns.
+func (s *Server) Run(stop <-chan struct{}) error {
+	defer s.cancel()
+	defer s.listener.Close()
+	t, l := &s.start.Terms, s.start.Limits
+	forNodes := max(1, (l.Sockets-spareSockets)/nodesPart)
 	s.clients.all, s.clients.room = map[*client]bool{}, make(chan struct{}, 1)
-	s.clients.most = max(1, l.Sockets-sparePart-forNodes)
+	s.clients.most = max(1, l.Sockets-spareSockets-forNodes)
 	s.loop.pool = store.NewPool(s.ctx, store.Limits{Streams: t.Streams, Idle: t.Idle, Dial: t.Dial, Conns: forNodes},
-		s.loop.since, s.group.Go, func(e store.Event) { s.deliver(e) }, s.loop.subrequestEnded)
+		store.DialTCP, s.loop.since, s.group.Go, func(e store.Event) { s.deliver(e) }, s.loop.subrequestEnded)
 	list, known, _ := s.known()
 	client := discovery.NewClient(s.start.Discovery.String(), s.reader(), t.AskEvery, list.Version, known,
 		func(list *discovery.List, err error) { s.deliver(listed{list, err}) })
@@ -156,6 +155,7 @@
 		return
 	}
 	s.listener.Close()
+	<-s.accepted
 	s.clients.closeIdle()
 	s.serving.Wait()
 }
--- a/store/store.go
+++ b/store/store.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -48,6 +49,15 @@
 	Conns   int // over all nodes
 }
 
+// Conn is a connection to a node. TryWrite hands over what it takes at once and returns how much that is.
+type Conn interface {
+	io.ReadCloser
+	TryWrite(b []byte) (int, error)
+}
+
+// Dialer opens a connection.
+type Dialer func(ctx context.Context, addr string, within time.Duration) (Conn, error)
+
 // Counts tell what went over the connections.
 type Counts struct {
 	Dials, Ended, Calls, Parts, Cancels uint64
@@ -61,7 +71,7 @@
 	conn   *conn
 	kind   eventKind
 	at     time.Duration
-	up     *net.TCPConn
+	up     Conn
 	answer Answer
 	err    error
 }
@@ -79,6 +89,7 @@
 	Counts Counts
 	ctx    context.Context
 	limits Limits
+	open   Dialer
 	since  func() time.Duration
 	start  func(func() error)
 	post   func(Event)
@@ -98,8 +109,7 @@
 
 type conn struct {
 	node   *node
-	tcp    *net.TCPConn // nil until it is up
-	raw    syscall.RawConn
+	up     Conn // nil until it is up
 	cancel context.CancelFunc
 	dialed time.Duration
 	last   time.Duration // when something last passed
@@ -111,9 +121,9 @@
 }
 
 // NewPool makes a pool. Goroutines run under start and end with ctx; post delivers to the loop, ended tells it.
-func NewPool(ctx context.Context, limits Limits, since func() time.Duration, start func(func() error),
+func NewPool(ctx context.Context, limits Limits, open Dialer, since func() time.Duration, start func(func() error),
 	post func(Event), ended func(*Part, broker.Outcome, time.Duration, string)) *Pool {
-	return &Pool{ctx: ctx, limits: limits, since: since, start: start, post: post, ended: ended,
+	return &Pool{ctx: ctx, limits: limits, open: open, since: since, start: start, post: post, ended: ended,
 		nodes: map[broker.NodeID]*node{}}
 }
 
@@ -131,11 +141,11 @@
 	}
 	if boot > n.boot {
 		n.boot = boot
-		p.closeWhere(n, "restarted", func(c *conn) bool { return c.tcp != nil && c.dialed < boot })
+		p.closeWhere(n, "restarted", func(c *conn) bool { return c.up != nil && c.dialed < boot })
 	}
 }
 
-// Send writes the parts to a node as one call.
+// Send writes the parts to a node as one call. The slice is the pool's from here on.
 func (p *Pool) Send(id broker.NodeID, parts []*Part) {
 	n := p.nodes[id]
 	if n == nil {
@@ -152,7 +162,7 @@
 			part.conn = c
 			c.out[part.ID] = part
 		}
-		if c.tcp == nil {
+		if c.up == nil {
 			c.queue = append(c.queue, parts)
 			return
 		}
@@ -167,7 +177,7 @@
 func (p *Pool) choose(n *node, parts int) *conn {
 	var best *conn
 	for _, c := range n.conns {
-		if len(c.out)+parts <= p.limits.Streams && (best == nil || best.tcp == nil && c.tcp != nil) {
+		if len(c.out)+parts <= p.limits.Streams && (best == nil || best.up == nil && c.up != nil) {
 			best = c
 		}
 	}
@@ -181,7 +191,7 @@
 		return p.dial(n)
 	}
 	for _, c := range n.conns { // its further parts wait unread at the node
-		if c.tcp != nil && (best == nil || len(c.out) < len(best.out)) {
+		if c.up != nil && (best == nil || len(c.out) < len(best.out)) {
 			best = c
 		}
 	}
@@ -221,18 +231,16 @@
 
 // read is a connection's goroutine: it dials, then delivers every answer and at last the end.
 func (p *Pool) read(ctx context.Context, c *conn, addr string) {
-	d := net.Dialer{Timeout: p.limits.Dial, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := p.open(ctx, addr, p.limits.Dial)
 	if err != nil {
 		p.post(Event{conn: c, kind: down, at: p.since(), err: err})
 		return
 	}
-	tcp := nc.(*net.TCPConn)
-	defer tcp.Close()
-	stop := context.AfterFunc(ctx, func() { tcp.Close() })
+	defer nc.Close()
+	stop := context.AfterFunc(ctx, func() { nc.Close() })
 	defer stop()
-	p.post(Event{conn: c, kind: up, at: p.since(), up: tcp})
-	r := bufio.NewReaderSize(tcp, 4<<10)
+	p.post(Event{conn: c, kind: up, at: p.since(), up: nc})
+	r := bufio.NewReaderSize(nc, 4<<10)
 	var buf []byte
 	for {
 		var letter byte
@@ -268,8 +276,7 @@
 		if c.closed {
 			return
 		}
-		c.tcp, c.last = e.up, e.at
-		c.raw, _ = e.up.SyscallConn()
+		c.up, c.last = e.up, e.at
 		queue := c.queue
 		c.queue = nil
 		for _, parts := range queue {
@@ -301,7 +308,7 @@
 	case down:
 		reason := c.reason
 		if !c.closed {
-			reason = why(e.err, c.tcp != nil)
+			reason = why(e.err, c.up != nil)
 			if errors.Is(e.err, errFrame) {
 				p.Counts.Bad++
 			}
@@ -360,19 +367,10 @@
 	return err
 }
 
-// write hands bytes to the socket without waiting; a part of them is as good as none.
-func (c *conn) write(b []byte) (err error) {
-	n := 0
-	if e := c.raw.Write(func(fd uintptr) bool {
-		for {
-			if n, err = syscall.Write(int(fd), b); err != syscall.EINTR {
-				return true
-			}
-		}
-	}); e != nil {
-		return e
-	}
-	if err == syscall.EAGAIN || err == nil && n < len(b) {
+// write hands a frame to the socket without waiting; a part of it is as good as none.
+func (c *conn) write(frame []byte) error {
+	n, err := c.up.TryWrite(frame)
+	if err == nil && n < len(frame) {
 		return errStuck
 	}
 	return err
@@ -405,7 +403,8 @@
 func (p *Pool) Sweep(now time.Duration) (next time.Duration) {
 	next = now + p.limits.Idle
 	for _, n := range p.order {
-		for _, c := range slices.Clone(n.conns) {
+		for i := len(n.conns) - 1; i >= 0; i-- { // from the end, as some are taken out
+			c := n.conns[i]
 			for _, part := range c.out {
 				if part.Deadline <= now {
 					p.finish(part, broker.TimedOut, now, "")
@@ -427,8 +426,8 @@
 }
 
 func (p *Pool) closeWhere(n *node, reason string, which func(*conn) bool) {
-	for _, c := range slices.Clone(n.conns) {
-		if which(c) {
+	for i := len(n.conns) - 1; i >= 0; i-- {
+		if c := n.conns[i]; which(c) {
 			p.close(c, reason)
 		}
 	}
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,353 @@
+package store
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"flaxfront/broker"
+)
+
+func frame(letter byte, rest string) []byte {
+	b := binary.LittleEndian.AppendUint32(nil, uint32(1+len(rest)))
+	return append(append(b, letter), rest...)
+}
+
+func TestFrames(t *testing.T) {
+	parts := []*Part{{ID: "9b.3", Shard: 3, Text: "c41e77d0", Deadline: 240 * time.Millisecond},
+		{ID: "9b.4", Shard: 4, Text: "a\nb", Deadline: 0}}
+	want := frame('q', "9b.3 3 d=239 8\nc41e77d0"+"9b.4 4 d=1 3\na\nb")
+	if got := appendCall(nil, parts, time.Millisecond); !bytes.Equal(got, want) {
+		t.Errorf("call %q", got)
+	}
+	if got := appendCancel(nil, "9b.3"); !bytes.Equal(got, frame('c', "9b.3")) {
+		t.Errorf("cancel %q", got)
+	}
+	a, err := parseAnswer([]byte("9b.3 served 1840277719 -\n5be2\na"))
+	if err != nil || a != (Answer{"9b.3", Served, "5be2\na"}) {
+		t.Errorf("%+v, %v", a, err)
+	}
+	for _, bad := range []string{"", "9b.3 served 1 -", "9b.3 served 1\nv", " served 1 -\nv", "9b.3 done 1 -\nv",
+		"9b.3 served many -\nv"} {
+		if a, err := parseAnswer([]byte(bad)); !errors.Is(err, errFrame) {
+			t.Errorf("%q read as %+v, %v", bad, a, err)
+		}
+	}
+	for _, bad := range [][]byte{{0, 0, 0, 0}, {0xff, 0xff, 0xff, 0xff}, frame('a', "cut")[:6]} {
+		if _, _, _, err := readFrame(bufio.NewReader(bytes.NewReader(bad)), nil); err == nil || err == io.EOF {
+			t.Errorf("%v: got %v", bad, err)
+		}
+	}
+}
+
+// pipe is a connection to a stand-in node: what is written gathers, what the node says comes by a channel.
+type pipe struct {
+	wrote  []string
+	say    chan []byte
+	rest   []byte
+	ended  chan struct{}
+	reset  error // what a read tells once the node has ended the connection
+	refuse error // what a write tells
+	takes  int   // bytes that a write takes; 0: all
+	closed bool
+}
+
+func (p *pipe) Read(b []byte) (int, error) {
+	for len(p.rest) == 0 {
+		select {
+		case p.rest = <-p.say:
+		case <-p.ended:
+			return 0, p.reset
+		}
+	}
+	n := copy(b, p.rest)
+	p.rest = p.rest[n:]
+	return n, nil
+}
+
+func (p *pipe) TryWrite(b []byte) (int, error) {
+	if p.refuse != nil {
+		return 0, p.refuse
+	}
+	if p.takes > 0 && p.takes < len(b) {
+		return p.takes, nil
+	}
+	p.wrote = append(p.wrote, string(b[4:]))
+	return len(b), nil
+}
+
+func (p *pipe) Close() error {
+	if !p.closed {
+		p.closed = true
+		p.end(io.ErrClosedPipe)
+	}
+	return nil
+}
+
+func (p *pipe) end(err error) {
+	if p.reset == nil {
+		p.reset = err
+		close(p.ended)
+	}
+}
+
+// bench is a pool with its loop played by the test.
+type bench struct {
+	*Pool
+	t      *testing.T
+	events chan Event
+	pipes  []*pipe
+	ends   []string
+	fail   error         // of the next dials
+	hold   time.Duration // how long a dial takes
+}
+
+var at = broker.NodeID{Port: 7}
+
+func run(t *testing.T, limits Limits, test func(b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		begin := time.Now()
+		b := &bench{t: t, events: make(chan Event, 100)}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		open := func(ctx context.Context, _ string, within time.Duration) (Conn, error) {
+			fail := b.fail
+			select {
+			case <-time.After(min(b.hold, within)):
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+			if b.hold > within {
+				return nil, context.DeadlineExceeded
+			}
+			if fail != nil {
+				return nil, fail
+			}
+			p := &pipe{say: make(chan []byte, 9), ended: make(chan struct{})}
+			b.pipes = append(b.pipes, p)
+			return p, nil
+		}
+		b.Pool = NewPool(ctx, limits, open, func() time.Duration { return time.Since(begin) },
+			func(f func() error) { go f() }, func(e Event) { b.events <- e },
+			func(p *Part, how broker.Outcome, _ time.Duration, value string) {
+				b.ends = append(b.ends, fmt.Sprintf("%s %d%s", p.ID, how, value))
+			})
+		b.Point(at, "s-7", netip.MustParseAddrPort("127.0.0.1:7"), broker.NoBoot)
+		test(b)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func (b *bench) settle() {
+	synctest.Wait()
+	for len(b.events) > 0 {
+		b.Handle(<-b.events)
+		synctest.Wait()
+	}
+}
+
+func (b *bench) send(ids ...string) (parts []*Part) {
+	for _, id := range ids {
+		parts = append(parts, &Part{ID: id, Text: "x", Deadline: time.Hour, Node: at})
+	}
+	b.Send(at, slices.Clone(parts))
+	b.settle()
+	return parts
+}
+
+// expect compares how parts ended since the last call.
+func (b *bench) expect(want ...string) {
+	b.t.Helper()
+	slices.Sort(b.ends)
+	if !slices.Equal(b.ends, want) {
+		b.t.Errorf("ended %q, want %q", b.ends, want)
+	}
+	b.ends = nil
+}
+
+var usual = Limits{Streams: 2, Idle: 30 * time.Second, Dial: 250 * time.Millisecond, Conns: 4}
+
+func TestAnswers(t *testing.T) {
+	run(t, usual, func(b *bench) {
+		b.send("a.1", "a.2")
+		b.send("a.3") // no room for it on the first connection
+		if len(b.pipes) != 2 || len(b.pipes[0].wrote) != 1 {
+			t.Fatalf("%d connections", len(b.pipes))
+		}
+		b.pipes[0].say <- append(frame('a', "a.2 served 1 -\nv2"), frame('a', "a.1 broke - -\n")...)
+		b.pipes[1].say <- frame('a', "a.3 skipped - -\n")
+		b.settle()
+		b.expect("a.1 0", "a.2 1v2", "a.3 2")
+		b.pipes[0].say <- frame('a', "a.2 served 1 -\nv2") // twice
+		b.pipes[0].say <- frame('a', "zz.9 served 1 -\nv") // never asked
+		b.settle()
+		b.expect()
+		if b.Counts.Late != 2 || b.Counts.Served != 1 || b.Open() != 2 {
+			t.Errorf("%+v, %d open", b.Counts, b.Open())
+		}
+	})
+}
+
+// Whether a frame's last byte was written tells a part that may have run from one that never did (rule 2).
+func TestHowConnectionsEnd(t *testing.T) {
+	run(t, usual, func(b *bench) {
+		b.fail = syscall.ECONNREFUSED
+		b.send("a.1")
+		b.expect("a.1 4")
+		b.fail, b.hold = nil, time.Second
+		b.send("a.2")
+		time.Sleep(usual.Dial)
+		b.settle()
+		b.expect("a.2 4")
+		b.hold = 0
+		b.send("a.3")
+		b.pipes[0].end(syscall.ECONNRESET)
+		b.settle()
+		b.expect("a.3 5")
+		for i, bad := range [][]byte{frame('x', ""), frame('a', "nonsense"), frame('e', "no such shard"), {0, 0, 0, 0}} {
+			b.send("b.1")
+			b.pipes[1+i].say <- bad
+			b.settle()
+			b.expect("b.1 5")
+			if !b.pipes[1+i].closed {
+				t.Errorf("%q: the connection stays open", bad)
+			}
+		}
+		if b.Counts.Bad != 3 || b.Open() != 0 {
+			t.Errorf("%+v, %d open", b.Counts, b.Open())
+		}
+	})
+}
+
+// A node that stopped reading fills its socket; the loop must not wait for it.
+func TestNodeTakesNoMore(t *testing.T) {
+	run(t, usual, func(b *bench) {
+		b.send("a.1")
+		b.pipes[0].takes = 5
+		b.send("a.2")
+		b.expect("a.1 5", "a.2 4")
+	})
+}
+
+// A connection that the node has ended meanwhile costs no sub-request: nothing of it was written.
+func TestStaleConnection(t *testing.T) {
+	run(t, usual, func(b *bench) {
+		b.send("a.1")
+		b.pipes[0].say <- frame('a', "a.1 served 1 -\nv")
+		b.settle()
+		b.pipes[0].refuse = syscall.EPIPE
+		b.send("a.2")
+		b.expect("a.1 1v")
+		if len(b.pipes) != 2 || len(b.pipes[1].wrote) != 1 {
+			t.Error("the part did not go over a new connection")
+		}
+	})
+}
+
+// What is called off while its connection comes up is never sent (rule 1); what was sent is told to the node once.
+func TestCancel(t *testing.T) {
+	run(t, usual, func(b *bench) {
+		b.hold = 100 * time.Millisecond
+		parts := b.send("a.1", "a.2")
+		b.Cancel(parts[0])
+		time.Sleep(b.hold)
+		b.settle()
+		b.Cancel(parts[1])
+		b.Cancel(parts[1])
+		b.expect("a.1 6", "a.2 6")
+		if w := b.pipes[0].wrote; len(w) != 2 || w[0][:5] != "qa.2 " || w[1] != "ca.2" {
+			t.Errorf("wrote %q", w)
+		}
+	})
+}
+
+func TestSweep(t *testing.T) {
+	run(t, usual, func(b *bench) {
+		parts := b.send("a.1")
+		parts[0].Deadline = time.Second
+		if next := b.Sweep(b.since()); next != time.Second {
+			t.Errorf("next at %v", next)
+		}
+		time.Sleep(time.Second)
+		next := b.Sweep(b.since())
+		b.expect("a.1 3")
+		if next >= usual.Idle { // the node would end it first
+			t.Errorf("idle end at %v", next)
+		}
+		time.Sleep(next - b.since())
+		b.Sweep(b.since())
+		b.settle()
+		if b.Open() != 0 || !b.pipes[0].closed {
+			t.Error("an idle connection stays open")
+		}
+	})
+}
+
+// A machine that vanished leaves connections that stay silent for ever; its next start proves them dead.
+func TestRestartedOrMovedNode(t *testing.T) {
+	run(t, usual, func(b *bench) {
+		b.send("a.1")
+		time.Sleep(time.Second)
+		addr := netip.MustParseAddrPort("127.0.0.1:7")
+		b.Point(at, "s-7", addr, b.since())
+		b.expect("a.1 5")
+		b.send("a.2")
+		b.Point(at, "s-7", addr, b.since()) // told again
+		b.expect()
+		b.pipes[1].say <- frame('a', "a.2 served 1 -\nv")
+		b.settle()
+		b.Point(at, "s-7", netip.MustParseAddrPort("127.0.0.1:8"), b.since())
+		if b.Open() != 0 {
+			t.Error("a connection to the old address stays")
+		}
+	})
+}
+
+// At the limit an idle connection gives way, never one that carries something.
+func TestConnectionLimit(t *testing.T) {
+	run(t, Limits{Streams: 1, Idle: time.Minute, Dial: time.Second, Conns: 2}, func(b *bench) {
+		other := broker.NodeID{Port: 8}
+		b.Point(other, "s-8", netip.MustParseAddrPort("127.0.0.1:8"), broker.NoBoot)
+		b.send("a.1")
+		b.send("a.2")
+		b.Send(other, []*Part{{ID: "a.3", Deadline: time.Hour}})
+		b.expect("a.3 4")
+		b.send("a.4") // waits unread at the node
+		if len(b.pipes) != 2 {
+			t.Errorf("%d connections", len(b.pipes))
+		}
+		b.pipes[1].say <- frame('a', "a.2 served 1 -\nv")
+		b.settle()
+		b.expect("a.2 1v")
+		b.Send(other, []*Part{{ID: "a.5", Deadline: time.Hour}})
+		b.settle()
+		if len(b.pipes) != 3 || !b.pipes[1].closed || b.Open() != 2 {
+			t.Errorf("%d connections, %d open", len(b.pipes), b.Open())
+		}
+		b.Send(broker.NodeID{Port: 9}, []*Part{{ID: "a.6"}}) // never listed
+		b.expect("a.6 7")
+	})
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add(frame('a', "9b.3 served 1840277719 -\n5be2"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		letter, rest, _, err := readFrame(bufio.NewReader(bytes.NewReader(data)), nil)
+		if err == nil && letter == 'a' {
+			if a, err := parseAnswer(rest); err == nil && a.ID == "" {
+				t.Errorf("%q has no id", rest)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/terms/terms_test.go
@@ -0,0 +1,137 @@
+package terms
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"flaxfront/broker"
+)
+
+const settings = `{"azs":["north","south side"],"balancers":2,"me":1,
+ "classes":[{"aimNs":2000000000,"deadlineNs":4000000000,"credit":2.5,"effect":"read_like","name":"find","windowNs":5}],
+ "domain":{"cells":3,"classFloor":[0.5],"partsACall":8,"slices":9,"width":1},
+ "permissions":{"cancel":true,"connIdleNs":30000000000,"connectTimeoutNs":250000000,"maxAttempts":4,"maxOpen":146,
+  "maxRetryAfterNs":2000000000,"multiplex":32,"peers":true,"retryAfter":true},
+ "realms":[{"name":"a, b","portion":0.5,"quotaPerS":14.0}],"registryMode":"ask","report":{"how":"silent","names":[]},
+ "safety":{"askWithinNs":10000000000,"coldFrom":0.29,"warmAfterNs":16000000000},"stepNs":5000000}`
+
+const text = `balancers=2
+me=1
+azs=north,south_side
+classes.count=1
+classes.0.aimNs=2000000000
+classes.0.deadlineNs=4000000000
+classes.0.credit=2.5
+classes.0.effect=read_like
+classes.0.name=find
+classes.0.windowNs=5
+domain.cells=3
+domain.classFloor=0.5
+domain.partsACall=8
+domain.slices=9
+domain.width=1
+permissions.cancel=true
+permissions.maxAttempts=4
+permissions.maxOpen=146
+permissions.maxRetryAfterNs=2000000000
+permissions.peers=true
+permissions.retryAfter=true
+realms.count=1
+realms.0.name=a__b
+realms.0.portion=0.5
+realms.0.quotaPerS=14.0
+registryMode=ask
+safety.coldFrom=0.29
+safety.warmAfterNs=16000000000
+stepNs=5000000
+unknown.key=1
+`
+
+// The module must be told the same by either form.
+func TestBothFormsTellTheModuleTheSame(t *testing.T) {
+	a, err := FromJSON([]byte(settings), 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := FromText(text, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(a.Module, b.Module) {
+		t.Errorf("from JSON %+v\nfrom text %+v", a.Module, b.Module)
+	}
+	if a.Module.Types[0].Target != 2*time.Second || a.Module.Types[0].Effect != broker.Idempotent {
+		t.Errorf("type read as %+v", a.Module.Types[0])
+	}
+	if a.Zones[1] != "south side" || a.Tenants[0] != "a, b" || a.Types[0] != "find" || a.Shards != 9 ||
+		a.Streams != 32 || a.Idle != 30*time.Second || a.Dial != 250*time.Millisecond || a.Me != 1 {
+		t.Errorf("read as %+v", a)
+	}
+}
+
+// Each bad setting is named, so that one line tells the operator what to mend.
+func TestBadSettingsAreNamed(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"cells":3,`, ``, "domain.cells"},
+		{`"cells":3`, `"cells":-3`, "domain.cells"},
+		{`"cells":3`, `"cells":[1,2]`, "domain.cells"},
+		{`"width":1`, `"width":4`, "domain.width"},
+		{`"classFloor":[0.5]`, `"classFloor":[0.5,1]`, "domain.classFloor"},
+		{`"aimNs":2000000000`, `"aimNs":"soon"`, "classes.0.aimNs"},
+		{`"aimNs":2000000000`, `"aimNs":5000000000`, "classes.0.aimNs"},
+		{`"read_like"`, `"often"`, "classes.0.effect"},
+		{`"name":"find",`, ``, "classes.0.name"},
+		{`"multiplex":32`, `"multiplex":0`, "permissions.multiplex"},
+		{`"connIdleNs":30000000000,`, ``, "permissions.connIdleNs"},
+		{`"cancel":true`, `"cancel":"si"`, "permissions.cancel"},
+		{`"slices":9,`, ``, "domain.slices"},
+		{`"registryMode":"ask"`, `"registryMode":"maybe"`, "registryMode"},
+		{`"stepNs":5000000`, `"stepNs":1e300`, "stepNs"},
+		{`"stepNs":5000000`, `"stepNs":`, "settings"},
+		{`"stepNs":5000000}`, `"stepNs":5000000}{`, "settings"},
+	} {
+		if !strings.Contains(settings, c.old) {
+			t.Fatalf("no %q in the settings", c.old)
+		}
+		if _, err := FromJSON([]byte(strings.Replace(settings, c.old, c.new, 1)), 1); err == nil ||
+			!strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: got %v", c.want, err)
+		}
+	}
+}
+
+func TestStart(t *testing.T) {
+	file := `{"name":"n0","listen":"127.0.0.1:80","discovery":"127.0.0.1:85","seed":"92094eb940cf389a",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"peer_listen":"127.0.0.1:79","peers":["127.0.0.2:79"],
+ "peers_all":"127.0.0.3:79","settings":` + settings + `}`
+	s, err := DecodeStart([]byte(file))
+	if err != nil || s.Terms.Module.Seed != 0x92094eb940cf389a || s.Peers[0].Port() != 79 || s.Limits.Sockets != 1024 {
+		t.Fatalf("%v, %+v", err, s)
+	}
+	for field, bad := range map[string][2]string{
+		"seed": {"92094eb940cf389a", "x"}, "listen": {"127.0.0.1:80", "here"}, "discovery": {"127.0.0.1:85", ""},
+		"peers.0": {"127.0.0.2:79", "b"}, "peers_all": {"127.0.0.3:79", "c"}, "limits": {`"sockets":1024`, `"sockets":0`},
+		"settings": {`"settings"`, `"other"`}, "configuration": {`{"name"`, `{"name`},
+	} {
+		if _, err := DecodeStart([]byte(strings.Replace(file, bad[0], bad[1], 1))); err == nil ||
+			!strings.Contains(err.Error(), field) {
+			t.Errorf("%s: got %v", field, err)
+		}
+	}
+	if _, err := ReadStart(t.TempDir() + "/none"); err == nil {
+		t.Error("a missing file was read")
+	}
+}
+
+func FuzzFromJSON(f *testing.F) {
+	f.Add([]byte(settings))
+	f.Add([]byte(`{"classes":[[{}],{"a":[null]}],"azs":{}}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if terms, err := FromJSON(raw, 1); err == nil && (len(terms.Types) != len(terms.Module.Types) ||
+			terms.Module.Cells < 1 || terms.Shards < 1) {
+			t.Errorf("let through: %+v", terms)
+		}
+	})
+}
