--- a/server/client.go
+++ b/server/client.go
@@ -202,9 +202,10 @@
 		switch {
 		case errors.As(err, &bad):
 			s.clients.refused.Add(1)
-			s.write(c, httpwire.AppendResponse(c.out[:0], bad.Status, true, []byte(bad.Why+"\n")))
+			s.part(c, bad.Status, bad.Why)
 			return "bad_request"
 		case errors.Is(err, os.ErrDeadlineExceeded):
+			s.part(c, 408, "the request did not come whole")
 			return "slow_request"
 		case err != nil:
 			return "cut_short"
@@ -216,6 +217,16 @@
 	}
 }
 
+// part tells a client why its connection ends. What it still sends is read for a while: a close with bytes unread
+// would reset the connection and could take the answer with it.
+func (s *Server) part(c *client, status int, why string) {
+	s.write(c, httpwire.AppendResponse(c.out[:0], status, true, []byte(why+"\n")))
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		c.SetReadDeadline(time.Now().Add(s.start.Terms.Dial))
+		io.Copy(io.Discard, io.LimitReader(c, httpwire.MaxBody))
+	}
+}
+
 // request answers one request; a reason ends the connection.
 func (s *Server) request(ctx context.Context, c *client, m *httpwire.Message, arrived time.Duration) string {
 	last := m.Close || s.draining.Load()
--- /dev/null
+++ b/server/loop_test.go
@@ -0,0 +1,372 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	oldrand "math/rand"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/quick"
+	"testing/synctest"
+	"time"
+
+	"flaxfront/broker"
+	"flaxfront/discovery"
+	"flaxfront/logic"
+	"flaxfront/store"
+	"flaxfront/terms"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	os.Exit(m.Run())
+}
+
+const settings = `{"azs":["a","b"],"balancers":2,
+ "classes":[{"aimNs":1000000000,"deadlineNs":2000000000,"effect":"read_like","name":"find"},
+  {"aimNs":1000000000,"deadlineNs":2000000000,"effect":"non_idempotent","name":"sign"}],
+ "clients":{"marksRetry":true},"domain":{"cells":2,"classFloor":[0.5,1],"partsACall":4,"slices":6,"width":1},
+ "permissions":{"cancel":true,"connIdleNs":30000000000,"connectTimeoutNs":250000000,"maxAttempts":4,"maxOpen":40,
+  "maxRetryAfterNs":2000000000,"multiplex":8,"retryAfter":true,"secondCopies":true},
+ "realms":[{"name":"acme","portion":1}],"registryMode":"ask",
+ "safety":{"askWithinNs":10000000000,"coldFrom":0.3,"drainGraceNs":500000000,"tipMultiple":2,"warmAfterNs":5000000000},
+ "stepNs":5000000}`
+
+func decoded(t *testing.T) terms.Terms {
+	tm, err := terms.FromJSON([]byte(settings), 11)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tm
+}
+
+// world is a loop with stand-in nodes. Their writes happen in the loop's goroutine, so that a rule is checked at the
+// moment at which it would be broken.
+type world struct {
+	t      *testing.T
+	seed   uint64
+	rnd    *rand.Rand // of the play; what nodes do hangs on who is asked what, not on who comes first
+	loop   *loop
+	mu     sync.Mutex // guards the maps
+	dials  map[string]int
+	asked  map[string]*search
+	runs   map[string]bool // parts that may have run at some node
+	made   map[string]bool // values that nodes made, by part
+	downAt map[string]time.Duration
+	nodes  []discovery.Node
+}
+
+// link is a connection to a stand-in node.
+type link struct {
+	w     *world
+	cell  int
+	addr  string
+	say   chan []byte
+	rest  []byte
+	ended chan struct{}
+	once  sync.Once
+}
+
+func (l *link) Read(b []byte) (int, error) {
+	for len(l.rest) == 0 {
+		select {
+		case l.rest = <-l.say:
+		case <-l.ended:
+			return 0, syscall.ECONNRESET
+		}
+	}
+	n := copy(b, l.rest)
+	l.rest = l.rest[n:]
+	return n, nil
+}
+
+func (l *link) Close() error {
+	l.once.Do(func() { close(l.ended) })
+	return nil
+}
+
+// TryWrite is a node that gets one frame whole, checks the rules and answers as chance has it.
+func (l *link) TryWrite(b []byte) (int, error) {
+	w := l.w
+	select {
+	case <-l.ended:
+		return 0, syscall.EPIPE
+	default:
+	}
+	if n := int(binary.LittleEndian.Uint32(b)); n != len(b)-4 {
+		w.t.Errorf("a frame of %d bytes says %d", len(b)-4, n)
+	}
+	if b[4] != 'q' {
+		return len(b), nil
+	}
+	parts := 0
+	for rest := b[5:]; len(rest) > 0; parts++ {
+		line, after, _ := bytes.Cut(rest, []byte{'\n'})
+		var id string
+		var shard, wait, size int
+		if _, err := fmt.Sscanf(string(line), "%s %d d=%d %d", &id, &shard, &wait, &size); err != nil {
+			w.t.Errorf("line %q: %v", line, err)
+		}
+		rest = after[size:]
+		w.check(l, id, shard)
+		l.answer(id)
+	}
+	if parts > 4 {
+		w.t.Errorf("%d parts in one call", parts)
+	}
+	return len(b), nil
+}
+
+func (w *world) chance(of string) *rand.Rand {
+	h := fnv.New64a()
+	h.Write([]byte(of))
+	return rand.New(rand.NewPCG(w.seed, h.Sum64()))
+}
+
+func (w *world) check(l *link, id string, shard int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.asked[id[:strings.IndexByte(id, '.')]]
+	switch {
+	case s.over:
+		w.t.Errorf("rule 1: %s was sent after its search's answer", id)
+	case shard%2 != l.cell:
+		w.t.Errorf("%s went to a node of cell %d", id, l.cell)
+	case s.typ == 1 && w.runs[id]:
+		w.t.Errorf("rule 2: %s was sent though it may have run", id)
+	}
+	if at, down := w.downAt[l.addr]; down && w.loop.since() > at+500*time.Millisecond {
+		w.t.Errorf("rule 3: %s was sent %v after the node's drain was told", id, w.loop.since()-at)
+	}
+	w.runs[id] = true
+}
+
+// answer plays one of a node's ways, well in most cases.
+func (l *link) answer(id string) {
+	w, rnd := l.w, l.w.chance(id+l.addr)
+	after := time.Duration(w10(rnd)) * 10 * time.Millisecond
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	served := fmt.Sprintf("%s served 7 -\n%s@%s", id, id, l.addr)
+	text := served
+	switch rnd.IntN(12) {
+	case 0:
+		text = id + " broke - -\n"
+	case 1:
+		text = id + " skipped - -\n"
+		w.runs[id] = false
+	case 2:
+		return // silent
+	case 3:
+		time.AfterFunc(after, func() { l.Close() })
+		return
+	case 4:
+		text = served
+		after *= 20 // perhaps called off meanwhile
+	}
+	if text == served {
+		w.made[id+"@"+l.addr] = true
+	}
+	b := binary.LittleEndian.AppendUint32(nil, uint32(1+len(text)))
+	b = append(append(b, 'a'), text...)
+	if rnd.IntN(10) == 0 {
+		b = append(b, b...) // says it twice
+	}
+	time.AfterFunc(after, func() {
+		select {
+		case l.say <- b:
+		case <-l.ended:
+		}
+	})
+}
+
+func w10(r *rand.Rand) int { return 1 + r.IntN(10) }
+
+// checked is the module with the counters checked before each of its turns.
+type checked struct {
+	broker.Decider
+	w *world
+}
+
+func (c checked) Turn(now time.Duration, ev []broker.Event, out []broker.Action) []broker.Action {
+	if t := c.w.loop.tally; t.Taken != t.Answered+t.Shed+t.Errored+t.Left+t.InHand {
+		c.w.t.Errorf("counters do not add up: %+v", t)
+	}
+	if c.w.loop.places > 40 {
+		c.w.t.Errorf("%d places taken", c.w.loop.places)
+	}
+	return c.Decider.Turn(now, ev, out)
+}
+
+// one client asks for one search and checks its answer, or leaves.
+func (w *world) client(n, typ int, leaves bool) {
+	s := &search{ask: &ask{id: fmt.Sprint("s", n), typ: typ, timeout: 2 * time.Second, text: "x"},
+		verdict: make(chan verdict, 1)}
+	shards := w.rnd.Perm(6)[:1+w.rnd.IntN(6)]
+	for _, shard := range shards {
+		s.ask.parts = append(s.ask.parts, askPart{fmt.Sprintf("%s.%d", s.ask.id, shard), shard, 1 / float64(len(shards))})
+	}
+	s.deadline = w.loop.since() + s.timeout
+	w.mu.Lock()
+	w.asked[s.ask.id] = s
+	w.mu.Unlock()
+	patience := time.Duration(w10(w.rnd)) * 50 * time.Millisecond
+	w.loop.in <- taken{s}
+	go func() {
+		if leaves {
+			time.Sleep(patience)
+			w.loop.in <- leave{s: s}
+			return
+		}
+		v := <-s.verdict
+		if late := w.loop.since() - s.deadline; late > 50*time.Millisecond {
+			w.t.Errorf("rule 1: answered %v late", late)
+		}
+		w.mu.Lock()
+		seen := map[int]bool{}
+		for _, p := range v.pieces {
+			id := fmt.Sprintf("%s.%d", s.ask.id, p.shard)
+			if !strings.HasPrefix(p.value, id+"@") || !w.made[p.value] || seen[p.shard] {
+				w.t.Errorf("rule 5: %s has the value %q", id, p.value)
+			}
+			seen[p.shard] = true
+		}
+		least := []float64{0.5, 1}[typ]
+		if share := float64(len(seen)) / float64(len(shards)); v.kind == answered &&
+			(share < least-1e-4 || v.whole != (len(seen) == len(shards))) {
+			w.t.Errorf("rule 5: answered, whole %v, from %.2f of the parts", v.whole, share)
+		}
+		if typ == 1 && v.kind == shed && len(s.parts) > 0 {
+			for _, p := range s.ask.parts {
+				if w.runs[p.name] {
+					w.t.Errorf("rule 2: shed though %s may have run", p.name)
+				}
+			}
+		}
+		w.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		if len(s.verdict) != 0 {
+			w.t.Errorf("rule 1: a second verdict")
+		}
+	}()
+}
+
+// Whatever nodes, clients and the list do, the rules hold at every step.
+func TestRulesHoldInRandomRuns(t *testing.T) {
+	play := func(seed uint64) bool {
+		synctest.Test(t, func(t *testing.T) { newWorld(t, seed).play() })
+		return !t.Failed()
+	}
+	if err := quick.Check(play, &quick.Config{MaxCount: 40, Rand: oldrand.New(oldrand.NewSource(1))}); err != nil {
+		t.Error(err)
+	}
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	tm := decoded(t)
+	tm.Module.Seed = seed
+	w := &world{t: t, seed: seed, dials: map[string]int{}, rnd: rand.New(rand.NewPCG(seed, 1)), asked: map[string]*search{}, runs: map[string]bool{},
+		made: map[string]bool{}, downAt: map[string]time.Duration{}}
+	w.loop = newLoop(time.Now(), checked{logic.New(tm.Module), w}, &tm.Module)
+	for i := range 8 {
+		name := fmt.Sprint("s-", i)
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i)}), 80)
+		w.nodes = append(w.nodes, discovery.Node{Name: name, Addr: addr, Entry: broker.Entry{
+			Node: discovery.ID(name), Cell: i % 2, Zone: i / 4, State: broker.Ready, Boot: broker.NoBoot}})
+	}
+	return w
+}
+
+func (w *world) dial(ctx context.Context, addr string, within time.Duration) (store.Conn, error) {
+	cell := int(netip.MustParseAddrPort(addr).Addr().As4()[3]) % 2
+	w.mu.Lock()
+	w.dials[addr]++
+	rnd := w.chance(fmt.Sprint(addr, w.dials[addr]))
+	w.mu.Unlock()
+	switch rnd.IntN(10) {
+	case 0:
+		return nil, syscall.ECONNREFUSED
+	case 1:
+		select {
+		case <-time.After(within):
+			return nil, context.DeadlineExceeded
+		case <-ctx.Done():
+			return nil, io.EOF
+		}
+	}
+	return &link{w: w, cell: cell, addr: addr, say: make(chan []byte), ended: make(chan struct{})}, nil
+}
+
+func (w *world) play() {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := w.loop
+	l.pool = store.NewPool(ctx, store.Limits{Streams: 8, Idle: 30 * time.Second, Dial: 250 * time.Millisecond, Conns: 20},
+		w.dial, l.since, func(f func() error) { go f() }, func(e store.Event) {
+			select {
+			case l.in <- e:
+			case <-ctx.Done():
+			}
+		}, l.subrequestEnded)
+	l.list(&discovery.List{Whole: true, Nodes: w.nodes}, nil)
+	go l.run(ctx)
+	for n := range 150 {
+		time.Sleep(time.Duration(w.rnd.IntN(80)) * time.Millisecond)
+		synctest.Wait() // from here on nothing else runs
+		switch w.rnd.IntN(12) {
+		case 0:
+			l.in <- listed{err: io.EOF}
+		case 1:
+			node := &w.nodes[w.rnd.IntN(len(w.nodes))]
+			node.Entry.State = broker.ListState(w.rnd.IntN(3))
+			if node.Entry.State == broker.Ready {
+				delete(w.downAt, node.Addr.String())
+				node.Entry.Boot = l.since() - time.Second
+			} else if _, down := w.downAt[node.Addr.String()]; !down {
+				w.downAt[node.Addr.String()] = l.since()
+			}
+			l.in <- listed{list: &discovery.List{Nodes: []discovery.Node{*node}}}
+		case 2:
+			l.in <- said{1, []byte("nonsense that no peer says")}
+		default:
+			w.client(n, w.rnd.IntN(2), w.rnd.IntN(8) == 0)
+		}
+		synctest.Wait()
+	}
+	time.Sleep(10 * time.Second)
+	synctest.Wait()
+	if t := l.tally; t.InHand != 0 || l.places != 0 || len(l.owners)+len(l.ids)+len(l.searches) != 0 || t.Answered == 0 {
+		w.t.Errorf("at the end: %+v, %d places, %d parts", t, l.places, len(l.owners))
+	}
+	cancel()
+	synctest.Wait()
+}
+
+// A search whose id is in hand would mix its parts with the other's; one that finds no place is shed unseen.
+func TestSearchesTheLoopRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		l := w.loop
+		l.pool = store.NewPool(t.Context(), store.Limits{}, nil, l.since, nil, nil, l.subrequestEnded)
+		var verdicts []verdictKind
+		for i, id := range []string{"a", "a", "b", "c"} {
+			s := &search{ask: &ask{id: id, parts: make([]askPart, 15+i)}, verdict: make(chan verdict, 1)}
+			l.take(taken{s})
+			if len(s.verdict) > 0 {
+				verdicts = append(verdicts, (<-s.verdict).kind)
+			}
+		}
+		if len(verdicts) != 2 || verdicts[0] != twice || verdicts[1] != shed || l.tally.Full != 1 || l.tally.InHand != 2 {
+			t.Errorf("%v, %+v", verdicts, l.tally)
+		}
+	})
+}
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,324 @@
+package server
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"flaxfront/broker"
+	"flaxfront/httpwire"
+	"flaxfront/logic"
+	"flaxfront/terms"
+)
+
+// standNode is a store node on loopback. It serves each part at once, but none whose text is "hang".
+func standNode(t *testing.T) string {
+	ln := listen(t)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				in := bufio.NewReader(conn)
+				for {
+					var head [4]byte
+					if _, err := io.ReadFull(in, head[:]); err != nil {
+						return
+					}
+					rest := make([]byte, binary.LittleEndian.Uint32(head[:]))
+					if _, err := io.ReadFull(in, rest); err != nil || rest[0] != 'q' {
+						continue
+					}
+					for text := string(rest[1:]); text != ""; {
+						var id string
+						var shard, wait, size int
+						fmt.Sscanf(text, "%s %d d=%d %d\n", &id, &shard, &wait, &size)
+						_, text, _ = strings.Cut(text, "\n")
+						if text[:size] != "hang" {
+							a := fmt.Sprintf("a%s served 7 -\n<%d>", id, shard)
+							conn.Write(append(binary.LittleEndian.AppendUint32(nil, uint32(len(a))), a...))
+						}
+						text = text[size:]
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func listen(t *testing.T) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+func startAt(t *testing.T, listen string, sockets int) *terms.Start {
+	none := netip.MustParseAddrPort("127.0.0.1:1") // where nobody listens
+	known := `{"generation":1,"reset":true,"instances":[`
+	for cell := range 2 {
+		known += fmt.Sprintf(`{"instanceId":"s-%d","hostPort":%q,"zone":"a","cell":%d,"lifecycle":"in_service"},`,
+			cell, standNode(t), cell)
+	}
+	return &terms.Start{Name: "n0", Listen: netip.MustParseAddrPort(listen), Discovery: none, Terms: decoded(t),
+		Limits: terms.Limits{Cores: 1, MemoryMB: 192, Sockets: sockets}, Known: []byte(known[:len(known)-1] + "]}")}
+}
+
+func module(t broker.Terms) broker.Decider { return logic.New(t) }
+
+// live runs a broker; end stops it as SIGTERM does and gives what Run returned.
+func live(t *testing.T, sockets int) (s *Server, end func() error) {
+	s, err := New(startAt(t, "127.0.0.1:0", sockets), module)
+	if err == nil {
+		err = s.Open()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, done, ended := make(chan struct{}), make(chan error, 1), false
+	go func() { done <- s.Run(stop) }()
+	end = func() error {
+		if ended {
+			return nil
+		}
+		ended = true
+		close(stop)
+		return <-done
+	}
+	t.Cleanup(func() { end() })
+	return s, end
+}
+
+type caller struct {
+	net.Conn
+	t  *testing.T
+	in *bufio.Reader
+}
+
+func dial(t *testing.T, s *Server) *caller {
+	conn, err := net.Dial("tcp", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return &caller{conn, t, httpwire.NewReader(conn)}
+}
+
+// say writes and reads one response.
+func (c *caller) say(text string) *httpwire.Message {
+	c.t.Helper()
+	io.WriteString(c, text)
+	return c.hear()
+}
+
+func (c *caller) hear() *httpwire.Message {
+	c.t.Helper()
+	m, err := httpwire.ReadResponse(c.in)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return m
+}
+
+const (
+	head  = "POST /find HTTP/1.1\r\nHost: b\r\nX-Request-ID: %s\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 1900\r\n"
+	body  = `{"tablets":[{"tablet":0,"fraction":0.5,"guess":9000},{"tablet":1,"fraction":0.5}],"statement":"c41e"}`
+	whole = `{"full":true,"pieces":[{"tablet":0,"cell":"\u003c0\u003e"},{"tablet":1,"cell":"\u003c1\u003e"}]}`
+)
+
+func post(id, body string) string {
+	return fmt.Sprintf(head+"Content-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// hanging is a search that no node answers.
+func hanging(id string) string {
+	return strings.Replace(post(id, strings.Replace(body, "c41e", "hang", 1)), "1900", "900", 1)
+}
+
+// until waits for a state that must come, however long it takes.
+func until(s *Server, reached func(Counters) bool) {
+	for !reached(s.Counters()) {
+	}
+}
+
+func TestSearchesOverSockets(t *testing.T) {
+	s, _ := live(t, 1024)
+	c := dial(t, s)
+	for i := range 3 {
+		if m := c.say(post(fmt.Sprint("a", i), body)); m.Status != 200 || string(m.Body) != whole || m.Close {
+			t.Fatalf("%d %s", m.Status, m.Body)
+		}
+	}
+	chunked := fmt.Sprintf(head+"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", "b", len(body), body)
+	for _, b := range []byte(chunked) { // byte by byte
+		c.Write([]byte{b})
+	}
+	io.WriteString(c, post("c", body)+"GET /up HTTP/1.1\r\nHost: b\r\n\r\n") // and two more, unasked
+	for range 2 {
+		if m := c.hear(); m.Status != 200 || string(m.Body) != whole {
+			t.Errorf("%d %s", m.Status, m.Body)
+		}
+	}
+	if m := c.hear(); m.Status != 200 {
+		t.Errorf("/up: %d", m.Status)
+	}
+	var counters Counters
+	m := c.say("GET /counters HTTP/1.1\r\nHost: b\r\n\r\n")
+	if err := json.Unmarshal(m.Body, &counters); err != nil || counters.Searches.Answered != 5 ||
+		counters.Searches.Taken != 5 || counters.Searches.Store.Parts != 10 {
+		t.Errorf("%v, %+v", err, counters)
+	}
+}
+
+// Bad input is told so; no part of it is sent, and the connection lives where its framing does.
+func TestBadAsks(t *testing.T) {
+	s, _ := live(t, 1024)
+	for _, c := range []struct {
+		old, new string
+		status   int
+		closed   bool
+	}{
+		{"POST /find", "POST /lost", 404, false},
+		{"POST /find", "PUT /find", 405, false},
+		{"POST /find", "POST find", 400, true},
+		{"X-Request-ID: x\r\n", "", 400, false},
+		{"X-Request-ID: x", "X-Request-ID: a b", 400, false},
+		{"acme", "nobody", 400, false},
+		{"X-Tenant-Id: acme\r\n", "", 400, false},
+		{"X-Timeout-Ms: 1900\r\n", "", 400, false},
+		{"1900", "0", 400, false},
+		{"1900", "-5", 400, false},
+		{"1900", "99999999999999999999", 400, false},
+		{"1900", "86400000", 400, false},
+		{"1900", "soon", 400, false},
+		{"Content-Length", "Content-Length: 1\r\nContent-Length", 400, true},
+		{"Content-Length", "Transfer-Encoding: chunked\r\nContent-Length", 400, true},
+		{"Content-Length: ", "Content-Length: 99", 413, true},
+		{`{"tablets"`, `["tablets"`, 400, false},
+		{`"statement"`, `"statemend"`, 400, false},
+		{`"tablet":1`, `"tablet":0`, 400, false},
+		{`"tablet":1`, `"tablet":6`, 400, false},
+		{`"tablet":1`, `"tablet":"`, 400, false},
+		{`0.5}]`, `0.7}]`, 400, false},
+		{`0.5}]`, `1.7}]`, 400, false},
+		{`,{"tablet":1,"fraction":0.5}`, ``, 400, false},
+		{`"tablets":[`, `"tablets":[],"other":[`, 400, false},
+	} {
+		text := strings.Replace(post("x", body), c.old, c.new, 1)
+		if at := strings.Index(text, "{"); at > 0 && !c.closed { // the length is right in any case
+			start, rest := text[:strings.Index(text, "Content-Length")], text[strings.Index(text, "\r\n\r\n")+4:]
+			text = fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", start, len(rest), rest)
+		}
+		to := dial(t, s)
+		if m := to.say(text); m.Status != c.status || m.Close != c.closed {
+			t.Errorf("%q: %d, closed %v: %s", c.new, m.Status, m.Close, m.Body)
+		} else if !c.closed {
+			if m := to.say(post("good", body)); m.Status != 200 {
+				t.Errorf("after %q: %d %s", c.new, m.Status, m.Body)
+			}
+		}
+	}
+	slow, cut := dial(t, s), dial(t, s)
+	io.WriteString(cut, post("x", body)[:100])
+	cut.Close()
+	if m := slow.say(post("x", body)[:100]); m.Status != 408 || !m.Close {
+		t.Errorf("a request that does not come whole: %d", m.Status)
+	}
+	if n := s.Counters().Searches; n.Taken != n.Answered || n.Store.Parts != 2*n.Taken {
+		t.Errorf("%+v", n)
+	}
+}
+
+// A client that goes away frees its place at once; its neighbours feel nothing.
+func TestClientGone(t *testing.T) {
+	s, _ := live(t, 1024)
+	gone, stays := dial(t, s), dial(t, s)
+	io.WriteString(gone, hanging("a"))
+	until(s, func(c Counters) bool { return c.Searches.InHand == 1 })
+	gone.Close()
+	until(s, func(c Counters) bool { return c.Searches.Left == 1 && c.Searches.InHand == 0 })
+	if m := stays.say(post("b", body)); m.Status != 200 {
+		t.Errorf("%d", m.Status)
+	}
+}
+
+// SIGTERM: what is in hand is answered, who still comes is served, and then it ends without a fault.
+func TestStop(t *testing.T) {
+	s, end := live(t, 1024)
+	busy, idle := dial(t, s), dial(t, s)
+	idle.say(post("a", body))
+	io.WriteString(busy, hanging("b"))
+	until(s, func(c Counters) bool { return c.Searches.InHand == 1 })
+	done := make(chan error, 1)
+	go func() { done <- end() }()
+	for !s.draining.Load() {
+	}
+	if m := dial(t, s).say(post("c", body)); m.Status != 200 || !m.Close {
+		t.Errorf("who comes late: %d, closed %v", m.Status, m.Close)
+	}
+	if m := dial(t, s).say("GET /up HTTP/1.1\r\nHost: b\r\n\r\n"); m.Status != 503 {
+		t.Errorf("/up: %d", m.Status)
+	}
+	if _, err := idle.in.ReadByte(); err != io.EOF {
+		t.Errorf("idle connection: %v", err)
+	}
+	if m := busy.hear(); m.Status != 504 || !m.Close {
+		t.Errorf("in hand: %d, closed %v", m.Status, m.Close)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if conn, err := net.Dial("tcp", s.listener.Addr().String()); err == nil {
+		conn.Close()
+		t.Error("it still listens")
+	}
+}
+
+// Where descriptors run short an idle connection gives way, never one with a search in hand.
+func TestIdleConnectionsGiveWay(t *testing.T) {
+	s, _ := live(t, spareSockets+6) // two for nodes, four for clients
+	busy := dial(t, s)
+	io.WriteString(busy, hanging("a"))
+	until(s, func(c Counters) bool { return c.Searches.InHand == 1 })
+	for i := range 9 {
+		if m := dial(t, s).say(post(fmt.Sprint("b", i), body)); m.Status != 200 {
+			t.Fatalf("%d: %d", i, m.Status)
+		}
+	}
+	if m := busy.hear(); m.Status != 504 {
+		t.Errorf("the busy one: %d", m.Status)
+	}
+}
+
+// What can't work is told before anything listens.
+func TestFaultsAtStart(t *testing.T) {
+	taken := listen(t)
+	s, err := New(startAt(t, taken.Addr().String(), 1024), module)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Open(); err == nil || !strings.Contains(err.Error(), "in use") {
+		t.Errorf("address in use: %v", err)
+	}
+	bad := startAt(t, "127.0.0.1:0", 1024)
+	bad.Known = []byte(`{"generation":1,"instances":[{"instanceId":"s"}]}`)
+	if _, err := New(bad, module); err == nil || !strings.Contains(err.Error(), "known") {
+		t.Errorf("bad list: %v", err)
+	}
+	bad.Known, bad.Terms.Module.Types[0].Fetch = nil, 2
+	if _, err := New(bad, module); err == nil || !strings.Contains(err.Error(), "fetchParts") {
+		t.Errorf("second step: %v", err)
+	}
+}
