Connections silent for a client's whole time give way; requests that never come whole yield their place

Node ids show the name's digits in log lines; values and bodies that are not UTF-8 are refused, as they could not be passed on unchanged.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -3,6 +3,7 @@
 package broker
 
 import (
+	"fmt"
 	"math"
 	"time"
 )
@@ -13,6 +14,8 @@
 	Port uint16
 }
 
+func (id NodeID) String() string { return fmt.Sprintf("%x/%04x", id.Addr, id.Port) }
+
 // Effect tells what repeating a part does.
 type Effect uint8
 
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -6,6 +6,8 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -24,6 +26,7 @@
 const (
 	toldAfter     = 6 * time.Second
 	toldAfterWait = 2 * time.Second
+	longestWait   = time.Minute // that discovery grants
 	path          = "/discovery/hosts"
 )
 
@@ -110,13 +113,18 @@
 }
 
 // ID makes a node's id of its name. Addresses differ from one broker to the next, names do not, and what brokers
-// tell one another of nodes must mean the same to all.
+// tell one another of nodes must mean the same to all. Hexadecimal digits that end a name show in the id.
 func ID(name string) (id broker.NodeID) {
 	h := fnv.New64a()
 	h.Write([]byte(name))
-	sum := h.Sum(nil)
-	copy(id.Addr[:], sum)
-	id.Port = uint16(sum[4])<<8 | uint16(sum[5])
+	sum := h.Sum64()
+	binary.BigEndian.PutUint32(id.Addr[:], uint32(sum>>32))
+	id.Port = uint16(sum)
+	if n := len(name) - 2*len(id.Addr); n >= 0 {
+		if tail, err := hex.DecodeString(name[n:]); err == nil {
+			id.Addr = [4]byte(tail)
+		}
+	}
 	return id
 }
 
@@ -138,7 +146,7 @@
 // NewClient makes a client that holds a version already, or nothing (known false).
 func NewClient(addr string, reader Reader, wait time.Duration, held uint64, known bool,
 	tell func(*List, error)) *Client {
-	return &Client{addr: addr, reader: reader, wait: wait, held: held, known: known, tell: tell,
+	return &Client{addr: addr, reader: reader, wait: min(wait, longestWait), held: held, known: known, tell: tell,
 		ask: make(chan struct{}, 1)}
 }
 
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -54,8 +54,15 @@
 
 // Brokers see a node at different addresses, yet must mean the same node when they speak of it.
 func TestIDComesOfTheName(t *testing.T) {
-	if ID("s-5be2a07c") != ID("s-5be2a07c") || ID("s-5be2a07c") == ID("s-5be2a07d") {
-		t.Error("ids do not follow names")
+	seen := map[broker.NodeID]string{}
+	for _, name := range []string{"s-5be2a07c", "s-5be2a07d", "t-5be2a07c", "s", "node one", "node two"} {
+		if other, twice := seen[ID(name)]; twice {
+			t.Errorf("%s and %s share an id", name, other)
+		}
+		seen[ID(name)] = name
+	}
+	if text := ID("s-5be2a07c").String(); !strings.HasPrefix(text, "5be2a07c/") {
+		t.Errorf("logged as %s", text)
 	}
 }
 
--- a/server/ask.go
+++ b/server/ask.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"flaxfront/httpwire"
 	"flaxfront/terms"
@@ -74,6 +75,9 @@
 	if err := json.Unmarshal(body, &doc); err != nil {
 		return no(400, "body: %v", err)
 	}
+	if !utf8.Valid(body) { // the decoder would mend it, and nodes must get the text unchanged
+		return no(400, "body: not UTF-8")
+	}
 	if len(doc.Tablets) == 0 || doc.Statement == nil {
 		return no(400, "body: %d tablets, statement there: %v", len(doc.Tablets), doc.Statement != nil)
 	}
--- a/server/client.go
+++ b/server/client.go
@@ -29,16 +29,26 @@
 	requests int
 
 	// guarded by clients.mu
-	idle  time.Time // since when it waits for a request; zero: a request is in hand
+	state state
+	since time.Time // when it came into that state
 	ended string    // why this side closed it
 }
 
+type state uint8
+
+const (
+	idle    state = iota // between requests
+	reading              // a request has begun
+	busy                 // a request is in hand
+)
+
 // clients are all client connections. Their number is bounded; where it is reached the one that idled longest is
 // closed for a new one, and where none idles new ones wait in the kernel.
 type clients struct {
 	mu      sync.Mutex
 	all     map[*client]bool
 	most    int
+	moment  time.Duration // in which a request comes whole, as a rule
 	room    chan struct{} // told when one ends or falls idle
 	closing bool          // idle ones are closed at once
 
@@ -54,15 +64,18 @@
 		return false
 	}
 	cs.all[c] = true
-	c.idle = time.Now()
+	c.state, c.since = idle, time.Now()
 	return true
 }
 
-// spare closes the connection that idled longest. The caller holds mu.
+// spare closes the connection that idled longest, or where none idles the one whose request has been coming for
+// longest, if longer than a moment. The caller holds mu.
 func (cs *clients) spare() {
 	var oldest *client
 	for c := range cs.all {
-		if !c.idle.IsZero() && c.ended == "" && (oldest == nil || c.idle.Before(oldest.idle)) {
+		fits := c.state == idle || c.state == reading && time.Since(c.since) > cs.moment
+		if fits && c.ended == "" && (oldest == nil || c.state < oldest.state ||
+			c.state == oldest.state && c.since.Before(oldest.since)) {
 			oldest = c
 		}
 	}
@@ -77,19 +90,17 @@
 	c.SetReadDeadline(long)
 }
 
-// rest marks a connection as idle or busy and tells why it is to be closed, if it is.
-func (cs *clients) rest(c *client, idle bool) string {
+// turn notes a connection's state and tells why it is to be closed, if it is.
+func (cs *clients) turn(c *client, to state) string {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if !idle {
-		c.idle = time.Time{}
-		return c.ended
-	}
-	c.idle = time.Now()
-	if cs.closing && c.ended == "" {
-		c.ended = "drained"
+	c.state, c.since = to, time.Now()
+	if to == idle {
+		if cs.closing && c.ended == "" {
+			c.ended = "drained"
+		}
+		cs.tellRoom()
 	}
-	cs.tellRoom()
 	return c.ended
 }
 
@@ -114,7 +125,7 @@
 	defer cs.mu.Unlock()
 	cs.closing = true
 	for c := range cs.all {
-		if !c.idle.IsZero() && c.ended == "" {
+		if c.state == idle && c.ended == "" {
 			c.end("drained")
 		}
 	}
@@ -180,11 +191,12 @@
 func (s *Server) converse(ctx context.Context, c *client) string {
 	for {
 		c.SetReadDeadline(time.Now().Add(s.start.Terms.Idle))
-		if ended := s.clients.rest(c, true); ended != "" {
+		if ended := s.clients.turn(c, idle); ended != "" {
 			return ended
 		}
 		_, err := c.in.Peek(1)
-		ended := s.clients.rest(c, false)
+		c.SetReadDeadline(time.Now().Add(s.longest))
+		ended := s.clients.turn(c, reading)
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded) && ended != "":
 			return ended
@@ -195,11 +207,13 @@
 		case err != nil:
 			return "client_reset"
 		}
-		c.SetReadDeadline(time.Now().Add(s.longest))
 		m, err := httpwire.ReadRequest(c.in)
 		arrived := s.loop.since()
+		ended = s.clients.turn(c, busy)
 		var bad *httpwire.Fault
 		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && ended != "":
+			return ended
 		case errors.As(err, &bad):
 			s.clients.refused.Add(1)
 			s.part(c, bad.Status, bad.Why)
--- a/server/server.go
+++ b/server/server.go
@@ -114,9 +114,10 @@
 	t, l := &s.start.Terms, s.start.Limits
 	forNodes := max(1, (l.Sockets-spareSockets)/nodesPart)
 	s.clients.all, s.clients.room = map[*client]bool{}, make(chan struct{}, 1)
+	s.clients.moment = t.Dial
 	s.clients.most = max(1, l.Sockets-spareSockets-forNodes)
-	s.loop.pool = store.NewPool(s.ctx, store.Limits{Streams: t.Streams, Idle: t.Idle, Dial: t.Dial, Conns: forNodes},
-		store.DialTCP, s.loop.since, s.group.Go, func(e store.Event) { s.deliver(e) }, s.loop.subrequestEnded)
+	s.loop.pool = store.NewPool(s.ctx, store.Limits{Streams: t.Streams, Idle: t.Idle, Dial: t.Dial,
+		Silent: s.longest, Conns: forNodes}, store.DialTCP, s.loop.since, s.group.Go, func(e store.Event) { s.deliver(e) }, s.loop.subrequestEnded)
 	list, known, _ := s.known()
 	client := discovery.NewClient(s.start.Discovery.String(), s.reader(), t.AskEvery, list.Version, known,
 		func(list *discovery.List, err error) { s.deliver(listed{list, err}) })
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -215,6 +215,7 @@
 		{`0.5}]`, `1.7}]`, 400, false},
 		{`,{"tablet":1,"fraction":0.5}`, ``, 400, false},
 		{`"tablets":[`, `"tablets":[],"other":[`, 400, false},
+		{"c41e", "c41\xff", 400, false},
 	} {
 		text := strings.Replace(post("x", body), c.old, c.new, 1)
 		if at := strings.Index(text, "{"); at > 0 && !c.closed { // the length is right in any case
@@ -286,12 +287,15 @@
 	}
 }
 
-// Where descriptors run short an idle connection gives way, never one with a search in hand.
+// Where descriptors run short an idle connection gives way, or one whose request does not come, never one with a search in hand.
 func TestIdleConnectionsGiveWay(t *testing.T) {
 	s, _ := live(t, spareSockets+6) // two for nodes, four for clients
 	busy := dial(t, s)
 	io.WriteString(busy, hanging("a"))
 	until(s, func(c Counters) bool { return c.Searches.InHand == 1 })
+	for range 3 { // requests that never come whole hold no place for ever
+		io.WriteString(dial(t, s), post("x", body)[:50])
+	}
 	for i := range 9 {
 		if m := dial(t, s).say(post(fmt.Sprint("b", i), body)); m.Status != 200 {
 			t.Fatalf("%d: %d", i, m.Status)
--- a/store/frame.go
+++ b/store/frame.go
@@ -8,6 +8,7 @@
 	"io"
 	"strconv"
 	"time"
+	"unicode/utf8"
 )
 
 // maxFrame bounds what a node may send in one frame.
@@ -74,6 +75,9 @@
 	if !ok || len(words) != 4 || len(words[0]) == 0 {
 		return a, fmt.Errorf("%w: answer line %.60q", errFrame, line)
 	}
+	if !utf8.Valid(value) { // it could not be told to the client as the node gave it
+		return a, fmt.Errorf("%w: value %.60q", errFrame, value)
+	}
 	switch string(words[1]) {
 	case "served":
 		a.End = Served
--- a/store/store.go
+++ b/store/store.go
@@ -46,7 +46,8 @@
 	Streams int           // parts a connection carries at once
 	Idle    time.Duration // nodes close a connection that idled so long
 	Dial    time.Duration
-	Conns   int // over all nodes
+	Silent  time.Duration // a connection that owed answers so long and said nothing is taken for dead
+	Conns   int           // over all nodes
 }
 
 // Conn is a connection to a node. TryWrite hands over what it takes at once and returns how much that is.
@@ -113,6 +114,7 @@
 	cancel context.CancelFunc
 	dialed time.Duration
 	last   time.Duration // when something last passed
+	owes   time.Duration // since when it was sent calls and said nothing; 0: it owes none
 	out    map[string]*Part
 	queue  [][]*Part // calls that wait for the connection to come up; no more parts than streams
 	served int
@@ -173,9 +175,15 @@
 	}
 }
 
-// choose finds a connection with room, one that is up if possible, or opens one.
+// choose finds a connection with room, one that is up if possible, or opens one. Danger: a machine that vanished
+// and came back may leave an old connection silent for ever, and each trial over it would tell nothing. One that
+// said nothing for as long as any client waits gives way to a new one; a node that only hangs costs handshakes so.
 func (p *Pool) choose(n *node, parts int) *conn {
 	var best *conn
+	now := p.since()
+	p.closeWhere(n, "silent", func(c *conn) bool {
+		return len(c.out) == 0 && c.owes > 0 && now-c.owes > p.limits.Silent
+	})
 	for _, c := range n.conns {
 		if len(c.out)+parts <= p.limits.Streams && (best == nil || best.up == nil && c.up != nil) {
 			best = c
@@ -286,6 +294,7 @@
 			}
 		}
 	case answered:
+		c.owes = 0
 		part := c.out[e.answer.ID]
 		if part == nil {
 			p.Counts.Late++
@@ -349,6 +358,9 @@
 	err := c.write(p.buf)
 	if err == nil {
 		c.last = now
+		if c.owes == 0 {
+			c.owes = now
+		}
 		p.Counts.Calls++
 		p.Counts.Parts += uint64(len(parts))
 		for _, part := range parts {
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -38,7 +38,7 @@
 		t.Errorf("%+v, %v", a, err)
 	}
 	for _, bad := range []string{"", "9b.3 served 1 -", "9b.3 served 1\nv", " served 1 -\nv", "9b.3 done 1 -\nv",
-		"9b.3 served many -\nv"} {
+		"9b.3 served many -\nv", "9b.3 served 1 -\n\xff"} {
 		if a, err := parseAnswer([]byte(bad)); !errors.Is(err, errFrame) {
 			t.Errorf("%q read as %+v, %v", bad, a, err)
 		}
@@ -176,7 +176,7 @@
 	b.ends = nil
 }
 
-var usual = Limits{Streams: 2, Idle: 30 * time.Second, Dial: 250 * time.Millisecond, Conns: 4}
+var usual = Limits{Streams: 2, Idle: 30 * time.Second, Dial: 250 * time.Millisecond, Silent: 5 * time.Second, Conns: 4}
 
 func TestAnswers(t *testing.T) {
 	run(t, usual, func(b *bench) {
@@ -314,9 +314,30 @@
 	})
 }
 
+// A machine that vanished and came back may never say that an old connection is dead.
+func TestSilentConnection(t *testing.T) {
+	run(t, usual, func(b *bench) {
+		b.Cancel(b.send("a.1")[0])
+		time.Sleep(usual.Silent)
+		b.Cancel(b.send("a.2")[0])
+		if len(b.pipes) != 1 {
+			t.Fatalf("%d connections", len(b.pipes))
+		}
+		b.pipes[0].say <- frame('a', "a.1 served 1 -\nv") // late, but it lives
+		b.settle()
+		time.Sleep(2 * usual.Silent)
+		b.Cancel(b.send("a.3")[0])
+		time.Sleep(usual.Silent + 1)
+		b.send("a.4")
+		if len(b.pipes) != 2 || !b.pipes[0].closed {
+			t.Errorf("%d connections, the silent one closed: %v", len(b.pipes), b.pipes[0].closed)
+		}
+	})
+}
+
 // At the limit an idle connection gives way, never one that carries something.
 func TestConnectionLimit(t *testing.T) {
-	run(t, Limits{Streams: 1, Idle: time.Minute, Dial: time.Second, Conns: 2}, func(b *bench) {
+	run(t, Limits{Streams: 1, Idle: time.Minute, Dial: time.Second, Silent: time.Minute, Conns: 2}, func(b *bench) {
 		other := broker.NodeID{Port: 8}
 		b.Point(other, "s-8", netip.MustParseAddrPort("127.0.0.1:8"), broker.NoBoot)
 		b.send("a.1")
