Settings: an empty list where one value belongs is named, not a panic; dotted keys mean nothing

Found by FuzzFromJSON within 6 s: domain.cells as [] read past its end (pairs.text). A key such as domain.cells at the top could also stand in for a nested one, in the order a map happens to have.

--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -261,12 +261,34 @@
 }
 
 func reason(status int) string {
-	switch {
-	case status < 300:
+	switch status {
+	case 200:
 		return "OK"
-	case status < 500:
-		return "Not Accepted"
+	case 400:
+		return "Bad Request"
+	case 404:
+		return "Not Found"
+	case 405:
+		return "Method Not Allowed"
+	case 408:
+		return "Request Timeout"
+	case 409:
+		return "Conflict"
+	case 413:
+		return "Content Too Large"
+	case 417:
+		return "Expectation Failed"
+	case 431:
+		return "Request Header Fields Too Large"
+	case 501:
+		return "Not Implemented"
+	case 503:
+		return "Service Unavailable"
+	case 504:
+		return "Gateway Timeout"
+	case 505:
+		return "HTTP Version Not Supported"
 	default:
-		return "Not Answered"
+		return "Unknown"
 	}
 }
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -49,7 +49,7 @@
 	switch {
 	case !ok && need:
 		p.fail(key, "missing")
-	case len(v) > 1:
+	case ok && len(v) != 1:
 		p.fail(key, "%d values for one", len(v))
 	case ok:
 		return v[0]
@@ -178,6 +178,9 @@
 	switch v := v.(type) {
 	case map[string]any:
 		for key, below := range v {
+			if strings.Contains(key, ".") { // it could pass for something deeper
+				continue
+			}
 			if path != "" {
 				key = path + "." + key
 			}
