The log never stops the loop; nothing new goes to a node's old address

Seen in review: slog wrote to standard error in the loop's goroutine, so a full pipe would have stopped every search; lines now wait in a bounded queue and are dropped, and counted, where it is full. Pool.Point closed only idle connections when a node moved, and Pool.choose went on using a busy one to the old address.

--- /dev/null
+++ b/cmd/flaxfront/log_test.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+)
+
+// A reader of the log that stops must not stop the broker; what is lost is said.
+func TestLogNeverWaits(t *testing.T) {
+	in, out := io.Pipe()
+	w := newLogWriter(out)
+	for i := range 2 * logDepth {
+		fmt.Fprintf(w, "line %d\n", i)
+	}
+	go func() {
+		w.Close()
+		<-w.done
+		out.Close()
+	}()
+	text, err := io.ReadAll(in)
+	if err != nil || !bytes.Contains(text, []byte("line 0\n")) {
+		t.Errorf("%v, begins %.40q", err, text)
+	}
+	if got := strings.Count(string(text), "line "); got < logDepth || got > logDepth+1 ||
+		!strings.Contains(string(text), "log lines dropped") {
+		t.Errorf("%d lines came", got)
+	}
+}
--- a/cmd/flaxfront/main.go
+++ b/cmd/flaxfront/main.go
@@ -82,7 +82,9 @@
 }
 
 func serve(config string) error {
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	log := newLogWriter(os.Stderr)
+	defer log.Close()
+	slog.SetDefault(slog.New(slog.NewTextHandler(log, nil)))
 	start, s, err := load(config)
 	if err == nil {
 		err = s.Open()
--- a/store/store.go
+++ b/store/store.go
@@ -110,6 +110,7 @@
 
 type conn struct {
 	node   *node
+	addr   netip.AddrPort
 	up     Conn // nil until it is up
 	cancel context.CancelFunc
 	dialed time.Duration
@@ -137,10 +138,8 @@
 		p.nodes[id] = n
 		p.order = append(p.order, n)
 	}
-	if n.addr != addr {
-		n.addr = addr
-		p.closeWhere(n, "moved", func(c *conn) bool { return len(c.out) == 0 })
-	}
+	n.addr = addr // what goes to an older one carries on with what it has, and gets nothing new
+	p.closeWhere(n, "moved", func(c *conn) bool { return c.addr != addr && len(c.out) == 0 })
 	if boot > n.boot {
 		n.boot = boot
 		p.closeWhere(n, "restarted", func(c *conn) bool { return c.up != nil && c.dialed < boot })
@@ -185,7 +184,7 @@
 		return len(c.out) == 0 && c.owes > 0 && now-c.owes > p.limits.Silent
 	})
 	for _, c := range n.conns {
-		if len(c.out)+parts <= p.limits.Streams && (best == nil || best.up == nil && c.up != nil) {
+		if c.addr == n.addr && len(c.out)+parts <= p.limits.Streams && (best == nil || best.up == nil && c.up != nil) {
 			best = c
 		}
 	}
@@ -199,7 +198,7 @@
 		return p.dial(n)
 	}
 	for _, c := range n.conns { // its further parts wait unread at the node
-		if c.up != nil && (best == nil || len(c.out) < len(best.out)) {
+		if c.up != nil && c.addr == n.addr && (best == nil || len(c.out) < len(best.out)) {
 			best = c
 		}
 	}
@@ -223,23 +222,22 @@
 
 func (p *Pool) dial(n *node) *conn {
 	ctx, cancel := context.WithCancel(p.ctx)
-	c := &conn{node: n, cancel: cancel, dialed: p.since(), out: map[string]*Part{}}
+	c := &conn{node: n, addr: n.addr, cancel: cancel, dialed: p.since(), out: map[string]*Part{}}
 	c.last = c.dialed
 	n.conns = append(n.conns, c)
 	p.conns++
 	p.Counts.Dials++
-	addr := n.addr.String()
 	p.start(func() error {
 		defer cancel()
-		p.read(ctx, c, addr)
+		p.read(ctx, c)
 		return nil
 	})
 	return c
 }
 
 // read is a connection's goroutine: it dials, then delivers every answer and at last the end.
-func (p *Pool) read(ctx context.Context, c *conn, addr string) {
-	nc, err := p.open(ctx, addr, p.limits.Dial)
+func (p *Pool) read(ctx context.Context, c *conn) {
+	nc, err := p.open(ctx, c.addr.String(), p.limits.Dial)
 	if err != nil {
 		p.post(Event{conn: c, kind: down, at: p.since(), err: err})
 		return
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -305,10 +305,18 @@
 		b.send("a.2")
 		b.Point(at, "s-7", addr, b.since()) // told again
 		b.expect()
+		moved := netip.MustParseAddrPort("127.0.0.1:8")
+		b.Point(at, "s-7", moved, b.since())
+		b.send("a.3")
+		if len(b.pipes) != 3 || len(b.pipes[2].wrote) != 1 {
+			t.Error("a part went to the old address")
+		}
 		b.pipes[1].say <- frame('a', "a.2 served 1 -\nv")
 		b.settle()
-		b.Point(at, "s-7", netip.MustParseAddrPort("127.0.0.1:8"), b.since())
-		if b.Open() != 0 {
+		b.expect("a.2 1v")
+		b.Point(at, "s-7", moved, b.since())
+		b.settle()
+		if b.Open() != 1 || !b.pipes[1].closed {
 			t.Error("a connection to the old address stays")
 		}
 	})
