--- a/server/ask.go
+++ b/server/ask.go
@@ -99,6 +99,9 @@
 	if math.Abs(sum-1) > weightsSumSlip {
 		return no(400, "body: fractions add up to %.3f", sum)
 	}
+	for i := range a.parts { // rounded fractions would never add up to a whole answer
+		a.parts[i].weight /= sum
+	}
 	return nil
 }
 
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -174,10 +174,14 @@
 	if m := c.hear(); m.Status != 200 {
 		t.Errorf("/up: %d", m.Status)
 	}
+	rounded := strings.Replace(body, "0.5", "0.497", 1)
+	if m := c.say(post("d", rounded)); string(m.Body) != whole {
+		t.Errorf("rounded fractions: %d %s", m.Status, m.Body)
+	}
 	var counters Counters
 	m := c.say("GET /counters HTTP/1.1\r\nHost: b\r\n\r\n")
-	if err := json.Unmarshal(m.Body, &counters); err != nil || counters.Searches.Answered != 5 ||
-		counters.Searches.Taken != 5 || counters.Searches.Store.Parts != 10 {
+	if err := json.Unmarshal(m.Body, &counters); err != nil || counters.Searches.Answered != 6 ||
+		counters.Searches.Taken != 6 || counters.Searches.Store.Parts != 12 {
 		t.Errorf("%v, %+v", err, counters)
 	}
 }
