--- a/server/client.go
+++ b/server/client.go
@@ -20,7 +20,7 @@
 	"flaxfront/httpwire"
 )
 
-var long = time.Unix(1, 0) // a deadline that has passed
+var past = time.Unix(1, 0) // a deadline that wakes whoever reads
 
 // client is one client connection.
 type client struct {
@@ -101,7 +101,7 @@
 // end wakes the connection's reader, which then closes it. The caller holds mu.
 func (c *client) end(reason string) {
 	c.ended = reason
-	c.SetReadDeadline(long)
+	c.SetReadDeadline(past)
 }
 
 // turn notes a connection's state and tells why it is to be closed, if it is.
@@ -348,7 +348,7 @@
 		}
 	}
 	if watching != nil {
-		c.SetReadDeadline(long)
+		c.SetReadDeadline(past)
 		<-gone
 	}
 	last = last || s.draining.Load()
