--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -137,6 +137,7 @@
 	known  bool
 	tell   func(*List, error) // delivers to the loop
 	ask    chan struct{}
+	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 	conn   net.Conn
 	in     *bufio.Reader
 	calls  int // on this connection
@@ -147,7 +148,7 @@
 func NewClient(addr string, reader Reader, wait time.Duration, held uint64, known bool,
 	tell func(*List, error)) *Client {
 	return &Client{addr: addr, reader: reader, wait: min(wait, longestWait), held: held, known: known, tell: tell,
-		ask: make(chan struct{}, 1)}
+		ask: make(chan struct{}, 1), dial: new(net.Dialer).DialContext}
 }
 
 // Ask starts a watch unless one is held; each ask is answered by a list or an error.
@@ -215,8 +216,7 @@
 
 func (c *Client) exchange(ctx context.Context, target string) (*httpwire.Message, error) {
 	if c.conn == nil {
-		var d net.Dialer
-		conn, err := d.DialContext(ctx, "tcp", c.addr)
+		conn, err := c.dial(ctx, "tcp", c.addr)
 		if err != nil {
 			return nil, err
 		}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"flaxfront/broker"
@@ -131,6 +133,35 @@
 	}
 }
 
+// Discovery that takes a call and says nothing must not leave the broker deaf for ever.
+func TestSilentDiscovery(t *testing.T) {
+	for known, limit := range map[bool]time.Duration{true: 12 * time.Second, false: 6 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			var failed time.Duration
+			begin := time.Now()
+			c := NewClient("", reader(), 10*time.Second, 40, known, func(l *List, err error) {
+				if err != nil {
+					failed = time.Since(begin)
+				}
+			})
+			c.dial = func(context.Context, string, string) (net.Conn, error) {
+				here, there := net.Pipe()
+				go io.Copy(io.Discard, there)
+				return here, nil
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			go c.Run(ctx)
+			c.Ask()
+			time.Sleep(time.Minute)
+			if failed != limit {
+				t.Errorf("known %v: failed after %v, want %v", known, failed, limit)
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(list(41, true, line("s-1", "10.0.0.1:80", "in_service", 5))))
 	f.Fuzz(func(t *testing.T, raw []byte) {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -76,8 +77,9 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		if err != nil {
-			continue // such as a peer's port that is closed
+		if err != nil { // such as a peer's port that is closed; one that stays must not take the core
+			time.Sleep(time.Millisecond)
+			continue
 		}
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		switch i := slices.Index(l.peers, from); {
--- a/server/server.go
+++ b/server/server.go
@@ -51,12 +51,13 @@
 	accepted chan struct{}  // closed when no more of them come
 	draining atomic.Bool
 	longest  time.Duration // that any client waits
+	after    func(time.Duration) <-chan time.Time
 }
 
 // New makes a broker of its configuration; nothing is opened yet.
 func New(start *terms.Start, newModule func(broker.Terms) broker.Decider) (*Server, error) {
 	t := &start.Terms
-	s := &Server{start: start, accepted: make(chan struct{})}
+	s := &Server{start: start, accepted: make(chan struct{}), after: time.After}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.group, s.ctx = errgroup.WithContext(ctx)
@@ -151,7 +152,7 @@
 	slog.Info("stopping", "in_hand", s.Counters().Searches.InHand)
 	s.draining.Store(true)
 	select {
-	case <-time.After(stopTaking):
+	case <-s.after(stopTaking):
 	case <-s.ctx.Done():
 		return
 	}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"flaxfront/broker"
 	"flaxfront/httpwire"
@@ -80,6 +81,7 @@
 
 // live runs a broker; end stops it as SIGTERM does and gives what Run returned.
 func live(t *testing.T, sockets int) (s *Server, end func() error) {
+	t.Helper()
 	s, err := New(startAt(t, "127.0.0.1:0", sockets), module)
 	if err == nil {
 		err = s.Open()
@@ -143,8 +145,8 @@
 }
 
 // hanging is a search that no node answers.
-func hanging(id string) string {
-	return strings.Replace(post(id, strings.Replace(body, "c41e", "hang", 1)), "1900", "900", 1)
+func hanging(id, ms string) string {
+	return strings.Replace(post(id, strings.Replace(body, "c41e", "hang", 1)), "1900", ms, 1)
 }
 
 // until waits for a state that must come, however long it takes.
@@ -250,7 +252,7 @@
 func TestClientGone(t *testing.T) {
 	s, _ := live(t, 1024)
 	gone, stays := dial(t, s), dial(t, s)
-	io.WriteString(gone, hanging("a"))
+	io.WriteString(gone, hanging("a", "1900"))
 	until(s, func(c Counters) bool { return c.Searches.InHand == 1 })
 	gone.Close()
 	until(s, func(c Counters) bool { return c.Searches.Left == 1 && c.Searches.InHand == 0 })
@@ -262,9 +264,12 @@
 // SIGTERM: what is in hand is answered, who still comes is served, and then it ends without a fault.
 func TestStop(t *testing.T) {
 	s, end := live(t, 1024)
-	busy, idle := dial(t, s), dial(t, s)
+	enough := make(chan time.Time)
+	s.after = func(time.Duration) <-chan time.Time { return enough }
+	busy, idle, again := dial(t, s), dial(t, s), dial(t, s)
 	idle.say(post("a", body))
-	io.WriteString(busy, hanging("b"))
+	again.say(post("a2", body))
+	io.WriteString(busy, hanging("b", "900"))
 	until(s, func(c Counters) bool { return c.Searches.InHand == 1 })
 	done := make(chan error, 1)
 	go func() { done <- end() }()
@@ -276,6 +281,10 @@
 	if m := dial(t, s).say("GET /up HTTP/1.1\r\nHost: b\r\n\r\n"); m.Status != 503 {
 		t.Errorf("/up: %d", m.Status)
 	}
+	if m := again.say(post("d", body)); m.Status != 200 || !m.Close {
+		t.Errorf("who asks again: %d, closed %v", m.Status, m.Close)
+	}
+	close(enough)
 	if _, err := idle.in.ReadByte(); err != io.EOF {
 		t.Errorf("idle connection: %v", err)
 	}
@@ -295,7 +304,7 @@
 func TestIdleConnectionsGiveWay(t *testing.T) {
 	s, _ := live(t, spareSockets+6) // two for nodes, four for clients
 	busy := dial(t, s)
-	io.WriteString(busy, hanging("a"))
+	io.WriteString(busy, hanging("a", "900"))
 	until(s, func(c Counters) bool { return c.Searches.InHand == 1 })
 	for range 3 { // requests that never come whole hold no place for ever
 		io.WriteString(dial(t, s), post("x", body)[:50])
@@ -320,7 +329,7 @@
 	for i := range cap(statuses) {
 		c := dial(t, s)
 		go func() {
-			io.WriteString(c, hanging(fmt.Sprint("a", i)))
+			io.WriteString(c, hanging(fmt.Sprint("a", i), "900"))
 			m, err := httpwire.ReadResponse(c.in)
 			if err != nil {
 				m = &httpwire.Message{}
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
 	"slices"
 	"syscall"
@@ -369,6 +370,33 @@
 	})
 }
 
+// A write to a node that reads nothing comes back at once, with what the kernel took.
+func TestTCPWriteNeverWaits(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	conn, err := DialTCP(t.Context(), ln.Addr().String(), time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	block, n := make([]byte, 1<<20), 1<<20
+	for n == len(block) {
+		if n, err = conn.TryWrite(block); err != nil {
+			t.Fatal(err)
+		}
+	}
+	conn.Close()
+	if _, err := conn.TryWrite(block); err == nil {
+		t.Error("a closed connection took bytes")
+	}
+	ln.Close()
+	if _, err := DialTCP(t.Context(), ln.Addr().String(), time.Minute); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("nobody listens: %v", err)
+	}
+}
+
 func FuzzAnswer(f *testing.F) {
 	f.Add(frame('a', "9b.3 served 1840277719 -\n5be2"))
 	f.Fuzz(func(t *testing.T, data []byte) {
