--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -22,7 +22,9 @@
 		text string
 	}
 	heard := make(chan news, 9)
-	l, err := Listen(local, []netip.AddrPort{local, at}, at, func(from int, text []byte) { heard <- news{from, string(text)} })
+	l, err := Listen(local, []netip.AddrPort{local, at}, at, func(from int, text []byte) {
+		heard <- news{from, string(text)}
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/server/client.go
+++ b/server/client.go
@@ -283,7 +283,8 @@
 }
 
 // request answers one request; a reason ends the connection.
-func (s *Server) request(ctx context.Context, c *client, m *httpwire.Message, arrived time.Duration, last bool) string {
+func (s *Server) request(ctx context.Context, c *client, m *httpwire.Message, arrived time.Duration,
+	last bool) string {
 	last = last || s.draining.Load()
 	var err error
 	switch m.Path {
--- a/server/loop_test.go
+++ b/server/loop_test.go
@@ -275,7 +275,8 @@
 func newWorld(t *testing.T, seed uint64) *world {
 	tm := decoded(t)
 	tm.Module.Seed = seed
-	w := &world{t: t, seed: seed, dials: map[string]int{}, rnd: rand.New(rand.NewPCG(seed, 1)), asked: map[string]*search{}, runs: map[string]bool{},
+	w := &world{t: t, seed: seed, rnd: rand.New(rand.NewPCG(seed, 1)), dials: map[string]int{},
+		asked: map[string]*search{}, runs: map[string]bool{},
 		made: map[string]bool{}, downAt: map[string]time.Duration{}}
 	w.loop = newLoop(time.Now(), checked{logic.New(tm.Module), w}, &tm.Module)
 	for i := range 8 {
--- a/server/server.go
+++ b/server/server.go
@@ -117,8 +117,9 @@
 	s.clients.all, s.clients.room = map[*client]bool{}, make(chan struct{}, 1)
 	s.clients.moment = t.Dial
 	s.clients.most = max(1, l.Sockets-spareSockets-forNodes)
-	s.loop.pool = store.NewPool(s.ctx, store.Limits{Streams: t.Streams, Idle: t.Idle, Dial: t.Dial,
-		Silent: s.longest, Conns: forNodes}, store.DialTCP, s.loop.since, s.group.Go, func(e store.Event) { s.deliver(e) }, s.loop.subrequestEnded)
+	limits := store.Limits{Streams: t.Streams, Idle: t.Idle, Dial: t.Dial, Silent: s.longest, Conns: forNodes}
+	s.loop.pool = store.NewPool(s.ctx, limits, store.DialTCP, s.loop.since, s.group.Go,
+		func(e store.Event) { s.deliver(e) }, s.loop.subrequestEnded)
 	list, known, _ := s.known()
 	client := discovery.NewClient(s.start.Discovery.String(), s.reader(), t.AskEvery, list.Version, known,
 		func(list *discovery.List, err error) { s.deliver(listed{list, err}) })
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -300,7 +300,8 @@
 	}
 }
 
-// Where descriptors run short an idle connection gives way, or one whose request does not come, never one with a search in hand.
+// Where descriptors run short an idle connection gives way, or one whose request does not come, never one with a
+// search in hand.
 func TestIdleConnectionsGiveWay(t *testing.T) {
 	s, _ := live(t, spareSockets+6) // two for nodes, four for clients
 	busy := dial(t, s)
