One place gives a verdict and counts it; a sub-request ends once; the start list is read once

Second reading of the broker, behaviour kept: conclude and verdictOf stand for five copies of counting and delivering a verdict; reply for the two copies of writing and naming the connection's end. loop.send gave a part of an ended search back as never sent, and forget then ended it again: it now waits for forget alone (the module does not send for such). The start list was decoded at New and again at Run; the error branch after group.Wait could not be reached, two deferred closes ran twice; a search's serial is derived from its id; part events carry only what broker.go says. The files that opened without saying what they own now do.

--- a/cmd/flaxfront/log.go
+++ b/cmd/flaxfront/log.go
@@ -1,5 +1,7 @@
 package main
 
+// This file owns the way of log lines out of the process. It must never make whoever logs wait.
+
 import (
 	"bytes"
 	"fmt"
@@ -11,9 +13,9 @@
 // logDepth bounds the lines that wait to be written.
 const logDepth = 4096
 
-// logWriter owns the way of log lines out of the process. Danger: whoever reads them stops, the pipe fills, and with it
-// the loop would stand still. Lines wait in a bounded queue; where it is full they are dropped, and how many is said
-// once there is room. It must never make its caller wait.
+// logWriter writes lines in a goroutine of its own. Danger: whoever reads them stops, the pipe fills, and with it the
+// loop would stand still. Lines wait in a bounded queue; where it is full they are dropped, and how many is said once
+// there is room.
 type logWriter struct {
 	lines   chan []byte
 	dropped atomic.Uint64
--- a/server/client.go
+++ b/server/client.go
@@ -6,7 +6,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
@@ -286,33 +285,23 @@
 func (s *Server) request(ctx context.Context, c *client, m *httpwire.Message, arrived time.Duration,
 	last bool) string {
 	last = last || s.draining.Load()
-	var err error
 	switch m.Path {
 	case "/up", "/alive":
 		status := 200
 		if m.Path == "/up" && s.draining.Load() {
 			status = 503 // no front should take this broker in now
 		}
-		err = s.write(c, httpwire.AppendResponse(c.out[:0], status, last, nil))
+		return s.reply(c, httpwire.AppendResponse(c.out[:0], status, last, nil), last)
 	case "/counters":
-		text, _ := json.Marshal(s.Counters())
-		err = s.write(c, httpwire.AppendResponse(c.out[:0], 200, last, append(text, '\n'),
-			"Content-Type: application/json"))
-	default:
-		a, bad := decodeAsk(m, &s.start.Terms)
-		if bad == nil {
-			return s.search(ctx, c, a, arrived, last)
-		}
-		s.clients.refused.Add(1)
-		err = s.write(c, httpwire.AppendResponse(c.out[:0], bad.status, last, []byte(bad.why+"\n")))
+		text := append([]byte(s.Counters().String()), '\n')
+		return s.reply(c, httpwire.AppendResponse(c.out[:0], 200, last, text, "Content-Type: application/json"), last)
 	}
-	switch {
-	case err != nil:
-		return "write_failed"
-	case last:
-		return "last_answer"
+	a, bad := decodeAsk(m, &s.start.Terms)
+	if bad != nil {
+		s.clients.refused.Add(1)
+		return s.reply(c, httpwire.AppendResponse(c.out[:0], bad.status, last, []byte(bad.why+"\n")), last)
 	}
-	return ""
+	return s.search(ctx, c, a, arrived, last)
 }
 
 // search is the life of one search, from its last byte to the last byte of its answer.
@@ -353,12 +342,21 @@
 		<-gone
 	}
 	last = last || s.draining.Load()
-	c.out = appendVerdict(c.out[:0], v, last)
-	if err := s.write(c, c.out); err != nil {
+	reason := s.reply(c, appendVerdict(c.out[:0], v, last), last)
+	if reason == writeFailed {
 		s.clients.unwritten.Add(1)
-		return "write_failed"
 	}
-	slog.Debug("search over", "id", a.id, "verdict", v.kind, "took", s.loop.since()-arrived)
+	slog.Debug("search over", "id", a.id, "verdict", v.kind, "took", s.loop.since()-arrived, "end", reason)
+	return reason
+}
+
+const writeFailed = "write_failed"
+
+// reply writes a response and tells why the connection ends with it, if it does.
+func (s *Server) reply(c *client, b []byte, last bool) string {
+	if err := s.write(c, b); err != nil {
+		return writeFailed
+	}
 	if last {
 		return "last_answer"
 	}
--- a/server/loop.go
+++ b/server/loop.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"flaxfront/broker"
@@ -114,7 +115,6 @@
 	ask      func()                           // ask discovery
 	tell     func(text string)                // to the other brokers
 	nodes    map[broker.NodeID]discovery.Node // as last listed
-	serial   uint64
 	next     uint64
 	places   int
 	searches map[uint64]*search
@@ -203,8 +203,7 @@
 	case leave:
 		if !d.s.over {
 			if d.overdue {
-				l.tally.Errored++
-				d.s.verdict <- verdict{kind: errored}
+				l.conclude(d.s, verdict{kind: errored})
 			} else {
 				l.tally.Left++
 			}
@@ -227,16 +226,12 @@
 	l.tally.Taken++
 	n := len(s.ask.parts)
 	if l.ids[s.ask.id] {
-		l.tally.Errored++
-		s.over = true
-		s.verdict <- verdict{kind: twice}
+		l.conclude(s, verdict{kind: twice})
 		return
 	}
 	if s.crowded || l.places+1+n > l.maxOpen {
-		l.tally.Shed++
 		l.tally.Full++
-		s.over = true
-		s.verdict <- verdict{kind: shed}
+		l.conclude(s, verdict{kind: shed})
 		return
 	}
 	l.tally.InHand++
@@ -245,15 +240,14 @@
 	l.places += 1 + n
 	l.searches[s.id], l.ids[s.ask.id] = s, true
 	s.parts = make([]part, n)
-	l.serial = (l.serial + 1) % (1 << 24) // what a float32 holds; far more than can be in hand
-	left := s.deadline - l.since()
-	l.events = append(l.events, broker.Event{Kind: broker.SearchIn, ID: s.id, Serial: float32(l.serial),
-		Type: s.typ, Tenant: s.tenant, Left: left, Weight: float64(n), Repeat: s.repeat})
+	serial := float32(s.id % (1 << 24)) // exact in a float32, and far more ids than can be in hand
+	l.events = append(l.events, broker.Event{Kind: broker.SearchIn, ID: s.id, Serial: serial, Type: s.typ,
+		Tenant: s.tenant, Left: s.deadline - l.since(), Weight: float64(n), Repeat: s.repeat})
 	for i := range s.ask.parts {
 		id := s.id + 1 + uint64(i)
 		l.owners[id] = s
-		l.events = append(l.events, broker.Event{Kind: broker.PartIn, ID: id, Serial: float32(l.serial),
-			Type: s.typ, Tenant: s.tenant, Left: left, Shard: s.ask.parts[i].shard, Weight: s.ask.parts[i].weight})
+		l.events = append(l.events, broker.Event{Kind: broker.PartIn, ID: id, Serial: serial,
+			Shard: s.ask.parts[i].shard, Weight: s.ask.parts[i].weight})
 	}
 }
 
@@ -322,31 +316,9 @@
 		if p, i := l.part(a.ID); p != nil && int(a.Attempt) < len(p.parts[i].tries) {
 			l.pool.Cancel(p.parts[i].tries[a.Attempt])
 		}
-	case broker.Answer:
-		if s := l.searches[a.ID]; s != nil && !s.over {
-			l.tally.Answered++
-			v := verdict{kind: answered, whole: a.Whole}
-			for i := range s.parts {
-				if s.parts[i].in {
-					v.pieces = append(v.pieces, piece{s.ask.parts[i].shard, s.parts[i].value})
-				}
-			}
-			if !v.whole {
-				l.tally.Partial++
-			}
-			s.verdict <- v
-			l.finish(s)
-		}
-	case broker.Shed:
-		if s := l.searches[a.ID]; s != nil && !s.over {
-			l.tally.Shed++
-			s.verdict <- verdict{kind: shed, after: a.After}
-			l.finish(s)
-		}
-	case broker.Fail:
+	case broker.Answer, broker.Shed, broker.Fail:
 		if s := l.searches[a.ID]; s != nil && !s.over {
-			l.tally.Errored++
-			s.verdict <- verdict{kind: errored}
+			l.conclude(s, s.verdictOf(a))
 			l.finish(s)
 		}
 	case broker.Wake:
@@ -364,6 +336,40 @@
 	}
 }
 
+// verdictOf makes the final answer of the module's word and the values that are in.
+func (s *search) verdictOf(a *broker.Action) verdict {
+	switch a.Kind {
+	case broker.Shed:
+		return verdict{kind: shed, after: a.After}
+	case broker.Fail:
+		return verdict{kind: errored}
+	}
+	v := verdict{kind: answered, whole: a.Whole}
+	for i := range s.parts {
+		if s.parts[i].in {
+			v.pieces = append(v.pieces, piece{s.ask.parts[i].shard, s.parts[i].value})
+		}
+	}
+	return v
+}
+
+// conclude gives a search its one verdict and counts it.
+func (l *loop) conclude(s *search, v verdict) {
+	switch v.kind {
+	case answered:
+		l.tally.Answered++
+		if !v.whole {
+			l.tally.Partial++
+		}
+	case shed:
+		l.tally.Shed++
+	default:
+		l.tally.Errored++
+	}
+	s.over = true
+	s.verdict <- v
+}
+
 // part finds the search that a part belongs to, and its place there.
 func (l *loop) part(id uint64) (*search, int) {
 	if s := l.owners[id]; s != nil {
@@ -382,10 +388,6 @@
 	t := &store.Part{ID: s.ask.parts[i].name, Shard: s.ask.parts[i].shard, Text: s.text, Deadline: s.deadline,
 		Sent: now, Part: a.ID, Attempt: uint16(len(p.tries)), Node: a.Node}
 	p.tries = append(p.tries, t)
-	if s.over {
-		l.subrequestEnded(t, broker.NeverSent, now, "")
-		return
-	}
 	l.tally.Subrequests++
 	for j := range l.calls {
 		if c := &l.calls[j]; c.to == a.Node && len(c.parts) < l.batch {
@@ -396,19 +398,9 @@
 	l.calls = append(l.calls, call{a.Node, []*store.Part{t}})
 }
 
-// flush sends a call, but for parts whose search ended in the same turn.
+// flush sends a call, but for parts called off, or whose search ended, in the same turn; forget ends the latter.
 func (l *loop) flush(c *call) {
-	parts := c.parts[:0]
-	for _, t := range c.parts {
-		if t.Over() {
-			continue
-		}
-		if l.owners[t.Part].over {
-			l.pool.Cancel(t)
-			continue
-		}
-		parts = append(parts, t)
-	}
+	parts := slices.DeleteFunc(c.parts, func(t *store.Part) bool { return t.Over() || l.owners[t.Part].over })
 	if len(parts) > 0 {
 		l.pool.Send(c.to, parts)
 	}
@@ -424,7 +416,7 @@
 		Took: max(0, at-t.Sent), Node: t.Node})
 }
 
-// finish marks a search as over; it is forgotten once the actions of its last turn are carried out.
+// finish takes a search out of hand; it is forgotten once the actions of its last turn are carried out.
 func (l *loop) finish(s *search) {
 	s.over = true
 	l.tally.InHand--
--- a/server/server.go
+++ b/server/server.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -40,6 +39,9 @@
 // Server is one broker.
 type Server struct {
 	start    *terms.Start
+	reader   discovery.Reader
+	list     *discovery.List // that it starts with
+	known    bool            // it was given one
 	loop     *loop
 	link     *peers.Link
 	listener net.Listener
@@ -57,10 +59,7 @@
 // New makes a broker of its configuration; nothing is opened yet.
 func New(start *terms.Start, newModule func(broker.Terms) broker.Decider) (*Server, error) {
 	t := &start.Terms
-	s := &Server{start: start, accepted: make(chan struct{}), after: time.After}
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.group, s.ctx = errgroup.WithContext(ctx)
+	s := &Server{start: start, list: &discovery.List{}, accepted: make(chan struct{}), after: time.After}
 	for i := range t.Module.Types {
 		if t.Module.Types[i].Fetch > 0 {
 			return nil, fmt.Errorf("configuration: settings: domain.fetchParts: %s has a second step, which the "+
@@ -69,30 +68,20 @@
 		s.longest = max(s.longest, t.Module.Types[i].Timeout)
 	}
 	s.loop = newLoop(time.Now(), newModule(t.Module), &t.Module)
-	if _, _, err := s.known(); err != nil {
-		return nil, fmt.Errorf("configuration: known: %w", err)
+	s.reader = discovery.Reader{Zones: t.Zones, Cells: t.Module.Cells, Start: s.loop.start}
+	if s.known = len(start.Known) > 0 && string(start.Known) != "null"; s.known {
+		var err error
+		if s.list, err = s.reader.Decode(start.Known); err != nil {
+			return nil, fmt.Errorf("configuration: known: %w", err)
+		}
+		s.list.Whole = true
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.group, s.ctx = errgroup.WithContext(ctx)
 	return s, nil
 }
 
-// reader reads node lists in this broker's terms.
-func (s *Server) reader() discovery.Reader {
-	return discovery.Reader{Zones: s.start.Terms.Zones, Cells: s.start.Terms.Module.Cells, Start: s.loop.start}
-}
-
-// known is the list that the broker starts with, if any.
-func (s *Server) known() (*discovery.List, bool, error) {
-	if len(s.start.Known) == 0 || string(s.start.Known) == "null" {
-		return &discovery.List{}, false, nil
-	}
-	rd := s.reader()
-	list, err := rd.Decode(s.start.Known)
-	if err == nil {
-		list.Whole = true
-	}
-	return list, true, err
-}
-
 // Open opens what the broker listens on. It serves nothing yet.
 func (s *Server) Open() (err error) {
 	if s.listener, err = net.Listen("tcp", s.start.Listen.String()); err != nil {
@@ -110,8 +99,6 @@
 
 // Run serves until stop is told, then answers what it has and returns.
 func (s *Server) Run(stop <-chan struct{}) error {
-	defer s.cancel()
-	defer s.listener.Close()
 	t, l := &s.start.Terms, s.start.Limits
 	forNodes := max(1, (l.Sockets-spareSockets)/nodesPart)
 	s.clients.all, s.clients.room = map[*client]bool{}, make(chan struct{}, 1)
@@ -120,11 +107,10 @@
 	limits := store.Limits{Streams: t.Streams, Idle: t.Idle, Dial: t.Dial, Silent: s.longest, Conns: forNodes}
 	s.loop.pool = store.NewPool(s.ctx, limits, store.DialTCP, s.loop.since, s.group.Go,
 		func(e store.Event) { s.deliver(e) }, s.loop.subrequestEnded)
-	list, known, _ := s.known()
-	client := discovery.NewClient(s.start.Discovery.String(), s.reader(), t.AskEvery, list.Version, known,
+	client := discovery.NewClient(s.start.Discovery.String(), s.reader, t.AskEvery, s.list.Version, s.known,
 		func(list *discovery.List, err error) { s.deliver(listed{list, err}) })
 	s.loop.ask = client.Ask
-	s.loop.list(list, nil)
+	s.loop.list(s.list, nil)
 	s.group.Go(func() error { return s.loop.run(s.ctx) })
 	s.group.Go(func() error { return client.Run(s.ctx) })
 	if s.link != nil {
@@ -132,7 +118,7 @@
 		s.group.Go(func() error { return s.link.Hear(s.ctx) })
 	}
 	s.group.Go(func() error { return s.accept(s.ctx) })
-	slog.Info("serving", "name", s.start.Name, "at", s.listener.Addr(), "nodes", len(list.Nodes),
+	slog.Info("serving", "name", s.start.Name, "at", s.listener.Addr(), "nodes", len(s.list.Nodes),
 		"clients", s.clients.most, "node_connections", forNodes)
 	select {
 	case <-stop:
@@ -142,10 +128,7 @@
 	slog.Info("counters", "counters", s.Counters())
 	s.cancel()
 	s.listener.Close()
-	if err := s.group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
-		return err
-	}
-	return nil
+	return s.group.Wait()
 }
 
 // drain goes on serving for as long as clients may come, then until all that was taken is answered.
--- a/store/frame.go
+++ b/store/frame.go
@@ -1,5 +1,8 @@
 package store
 
+// This file owns the form of frames, both ways. It must never let through an answer that it could not read whole, or
+// know which parts are out.
+
 import (
 	"bufio"
 	"bytes"
--- a/terms/start.go
+++ b/terms/start.go
@@ -1,5 +1,7 @@
 package terms
 
+// This file owns the configuration file. It must never open what the file names, or serve with a field that is wrong.
+
 import (
 	"encoding/json"
 	"fmt"
