--- a/terms/terms.go
+++ b/terms/terms.go
@@ -212,8 +212,11 @@
 		AskEvery: time.Duration(p.positive("safety.askWithinNs")),
 		Me:       p.count("me", false, 0),
 	}
-	if p.sockets && (len(f.Zones) == 0 || f.Shards == 0) {
-		p.fail("azs", "%d zones, %d of domain.slices", len(f.Zones), f.Shards)
+	if p.sockets && len(f.Zones) == 0 {
+		p.fail("azs", "no zones")
+	}
+	if p.sockets && f.Shards == 0 {
+		p.fail("domain.slices", "no shards")
 	}
 	t := broker.Terms{
 		Seed:         seed,
--- a/terms/terms_test.go
+++ b/terms/terms_test.go
@@ -90,6 +90,8 @@
 		{`"connIdleNs":30000000000,`, ``, "permissions.connIdleNs"},
 		{`"cancel":true`, `"cancel":"si"`, "permissions.cancel"},
 		{`"slices":9,`, ``, "domain.slices"},
+		{`"slices":9`, `"slices":0`, "settings: domain.slices"},
+		{`"azs":["north","south side"],`, ``, "settings: azs"},
 		{`"registryMode":"ask"`, `"registryMode":"maybe"`, "registryMode"},
 		{`"stepNs":5000000`, `"stepNs":1e300`, "stepNs"},
 		{`"stepNs":5000000`, `"stepNs":`, "settings"},
