SIGHUP reads the configuration anew and moves discovery; the process no longer ends by it

Checked: no handler in cmd/flaxfront/main.go; discovery's address, version and watch were fixed in discovery.NewClient; ruled out a crash of the loop (no line before the end). Also at fault: Client.call compared the version of a whole list with the one held, so a service that counts from elsewhere would never be believed. Now the file is read and checked whole; Client.Move ends a watch in hand and asks the new address for the whole list; what needs a restart is named.

--- a/cmd/flaxfront/main.go
+++ b/cmd/flaxfront/main.go
@@ -34,7 +34,7 @@
 			Use:   "serve",
 			Short: "Serve until SIGTERM, then answer what was taken and exit",
 			Long: "Serve clients as the configuration says. SIGTERM or SIGINT stops the broker once all it has taken " +
-				"is answered;\nSIGUSR1 logs the counters, which GET /counters returns too.",
+				"is answered;\nSIGHUP has the configuration read anew; SIGUSR1 logs the counters, which GET /counters returns too.",
 			Args: cobra.NoArgs,
 			RunE: func(*cobra.Command, []string) error { return serve(config) },
 		},
@@ -82,6 +82,9 @@
 }
 
 func serve(config string) error {
+	signals, reloads := make(chan os.Signal, 4), make(chan os.Signal, 1) // two SIGHUP that wait are as good as one
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	log := newLogWriter(os.Stderr)
 	defer log.Close()
 	slog.SetDefault(slog.New(slog.NewTextHandler(log, nil)))
@@ -94,8 +97,11 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(start.Limits.Cores)))
 	debug.SetMemoryLimit(int64(start.Limits.MemoryMB) << 20 / 4 * 3) // from there on the collector works harder
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	go func() {
+		for range reloads {
+			s.Reload(terms.ReadStart(config))
+		}
+	}()
 	stop := make(chan struct{})
 	go func() {
 		stopping := false
--- /dev/null
+++ b/cmd/flaxfront/main_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const config = `{"name":"n0","listen":"127.0.0.1:%d","discovery":"127.0.0.1:1","seed":"1f",
+ "limits":{"cores":1,"memory_mb":64,"sockets":64},"settings":{"azs":["a"],"stepNs":5000000,
+ "classes":[{"aimNs":2000000000,"deadlineNs":4000000000,"effect":"read_like","name":"find"}],
+ "domain":{"cells":1,"classFloor":[0.5],"slices":1,"width":1},"safety":{"askWithinNs":10000000000},
+ "permissions":{"connIdleNs":30000000000,"connectTimeoutNs":250000000,"maxAttempts":4,"multiplex":32}}}`
+
+// SIGHUP never ends the process, whatever the file holds by then; SIGTERM ends it well, with a reload under way too.
+func TestSignals(t *testing.T) {
+	file, port := filepath.Join(t.TempDir(), "config.json"), 20000+os.Getpid()%10000
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(fmt.Sprintf(config, port))
+	done := make(chan error, 1)
+	go func() { done <- serve(file) }()
+	up := func() {
+		t.Helper()
+		for range 500 {
+			if r, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/up", port)); err == nil {
+				r.Body.Close()
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Fatal("not up")
+	}
+	up()
+	for _, text := range []string{"{", "", fmt.Sprintf(config, port+1)} {
+		write(text)
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		up()
+	}
+	syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"flaxfront/broker"
@@ -130,6 +131,10 @@
 
 // Client asks discovery.
 type Client struct {
+	mu        sync.Mutex
+	pending   string             // the address to move to; "" for none
+	interrupt context.CancelFunc // ends the call in hand
+
 	addr   string
 	reader Reader
 	wait   time.Duration // how long discovery may hold a watch
@@ -137,6 +142,7 @@
 	known  bool
 	tell   func(*List, error) // delivers to the loop
 	ask    chan struct{}
+	moved  chan struct{}
 	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 	conn   net.Conn
 	in     *bufio.Reader
@@ -148,7 +154,46 @@
 func NewClient(addr string, reader Reader, wait time.Duration, held uint64, known bool,
 	tell func(*List, error)) *Client {
 	return &Client{addr: addr, reader: reader, wait: min(wait, longestWait), held: held, known: known, tell: tell,
-		ask: make(chan struct{}, 1), dial: new(net.Dialer).DialContext}
+		ask: make(chan struct{}, 1), moved: make(chan struct{}, 1), dial: new(net.Dialer).DialContext}
+}
+
+// Move has discovery asked at another address from now on, even where a watch is held; that counts as an ask. The list
+// held stands until the new one has spoken. The new one may count its versions from anywhere, so that it is asked for
+// the whole list first.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending = addr
+	if c.interrupt != nil {
+		c.interrupt()
+	}
+	select {
+	case c.moved <- struct{}{}:
+	default:
+	}
+}
+
+// moving tells whether a move waits to be made.
+func (c *Client) moving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending != ""
+}
+
+// begin makes a move that waits and lets Move end the call that begins.
+func (c *Client) begin(ctx context.Context) (context.Context, context.CancelFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending != "" {
+		c.hangUp("moved")
+		c.addr, c.pending, c.held, c.known = c.pending, "", 0, false
+		select {
+		case <-c.moved:
+		default: // it has woken Run
+		}
+	}
+	ctx, c.interrupt = context.WithCancel(ctx)
+	return ctx, c.interrupt
 }
 
 // Ask starts a watch unless one is held; each ask is answered by a list or an error.
@@ -167,15 +212,25 @@
 		case <-ctx.Done():
 			return nil
 		case <-c.ask:
+		case <-c.moved:
 		}
 		for {
 			list, err := c.call(ctx)
 			if ctx.Err() != nil {
 				return nil
 			}
-			c.tell(list, err)
+			if err != nil && c.moving() {
+				continue // it was ended by the move, or asked the wrong one
+			}
 			if err != nil {
 				c.hangUp("call_failed")
+				select {
+				case <-c.ask: // made while this call was out, and answered by it
+				default:
+				}
+			}
+			c.tell(list, err)
+			if err != nil {
 				break
 			}
 		}
@@ -184,6 +239,8 @@
 
 // call makes one call: a watch on from the version held, or the whole list.
 func (c *Client) call(ctx context.Context) (*List, error) {
+	ctx, end := c.begin(ctx)
+	defer end()
 	target, limit := path, toldAfter
 	if c.known {
 		target = fmt.Sprintf("%s?index=%d&wait=%d", path, c.held, c.wait.Milliseconds())
@@ -206,7 +263,7 @@
 		c.known = false // next time the whole list
 		return nil, err
 	}
-	if list.Version < c.held {
+	if c.known && list.Version < c.held { // a whole list asked for counts from wherever its service does
 		c.known = false
 		return nil, fmt.Errorf("discovery: version %d after %d", list.Version, c.held)
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -174,3 +174,52 @@
 		}
 	})
 }
+
+// A move ends the watch that is held and asks the new service at once, for the whole list, whatever it counts from;
+// a new one that fails is the module's to ask again.
+func TestMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var told []string
+		c := NewClient("old", reader(), 10*time.Second, 40, true, func(l *List, err error) {
+			if err != nil {
+				told = append(told, "failed")
+			} else {
+				told = append(told, fmt.Sprint(l.Version))
+			}
+		})
+		c.dial = func(_ context.Context, _, addr string) (net.Conn, error) {
+			if addr == "dead" {
+				return nil, io.ErrUnexpectedEOF
+			}
+			here, there := net.Pipe()
+			go func() {
+				defer there.Close()
+				for in := httpwire.NewReader(there); ; {
+					m, err := httpwire.ReadRequest(in)
+					if err != nil || m.Query != "" { // a watch is held for ever
+						io.Copy(io.Discard, there)
+						return
+					}
+					there.Write(httpwire.AppendResponse(nil, 200, false, []byte(list(len(addr), true))))
+				}
+			}()
+			return here, nil
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		go c.Run(ctx)
+		c.Ask()
+		begun := time.Now()
+		for i, step := range []struct{ to, want string }{{"new", "[3]"}, {"newer", "[3 5]"}, {"dead", "[3 5 failed]"},
+			{"back again", "[3 5 failed 10]"}} {
+			synctest.Wait()
+			c.Move("nowhere")
+			c.Move(step.to)
+			synctest.Wait()
+			if got := fmt.Sprint(told); got != step.want || time.Since(begun) > 0 {
+				t.Errorf("move %d to %s: told %s after %v, want %s", i, step.to, got, time.Since(begun), step.want)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/server/server.go
+++ b/server/server.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,10 +40,12 @@
 // Server is one broker.
 type Server struct {
 	start    *terms.Start
+	asked    netip.AddrPort // where discovery is
 	reader   discovery.Reader
 	list     *discovery.List // that it starts with
 	known    bool            // it was given one
 	loop     *loop
+	nodeList *discovery.Client
 	link     *peers.Link
 	listener net.Listener
 	clients  clients
@@ -59,29 +62,63 @@
 // New makes a broker of its configuration; nothing is opened yet.
 func New(start *terms.Start, newModule func(broker.Terms) broker.Decider) (*Server, error) {
 	t := &start.Terms
-	s := &Server{start: start, list: &discovery.List{}, accepted: make(chan struct{}), after: time.After}
+	s := &Server{start: start, asked: start.Discovery, accepted: make(chan struct{}), after: time.After}
 	for i := range t.Module.Types {
-		if t.Module.Types[i].Fetch > 0 {
-			return nil, fmt.Errorf("configuration: settings: domain.fetchParts: %s has a second step, which the "+
-				"protocol has no form for", t.Types[i])
-		}
 		s.longest = max(s.longest, t.Module.Types[i].Timeout)
 	}
 	s.loop = newLoop(time.Now(), newModule(t.Module), &t.Module)
 	s.reader = discovery.Reader{Zones: t.Zones, Cells: t.Module.Cells, Start: s.loop.start}
-	if s.known = len(start.Known) > 0 && string(start.Known) != "null"; s.known {
-		var err error
-		if s.list, err = s.reader.Decode(start.Known); err != nil {
-			return nil, fmt.Errorf("configuration: known: %w", err)
-		}
-		s.list.Whole = true
+	var err error
+	if s.list, s.known, err = check(start, s.reader); err != nil {
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.group, s.ctx = errgroup.WithContext(ctx)
+	s.nodeList = discovery.NewClient(start.Discovery.String(), s.reader, t.AskEvery, s.list.Version, s.known,
+		func(list *discovery.List, err error) { s.deliver(listed{list, err}) })
+	s.loop.ask = s.nodeList.Ask
 	return s, nil
 }
 
+// check reads what the configuration file leaves in other forms.
+func check(start *terms.Start, reader discovery.Reader) (list *discovery.List, known bool, err error) {
+	t := &start.Terms
+	for i := range t.Module.Types {
+		if t.Module.Types[i].Fetch > 0 {
+			return nil, false, fmt.Errorf("configuration: settings: domain.fetchParts: %s has a second step, which "+
+				"the protocol has no form for", t.Types[i])
+		}
+	}
+	if len(start.Known) == 0 || string(start.Known) == "null" {
+		return &discovery.List{}, false, nil
+	}
+	if list, err = reader.Decode(start.Known); err != nil {
+		return nil, false, fmt.Errorf("configuration: known: %w", err)
+	}
+	list.Whole = true
+	return list, true, nil
+}
+
+// Reload takes over a new configuration while serving, with one log line. It is read and checked whole by then; err is
+// what was wrong with it, and then the old one stays in force. Discovery moves; what would need a restart is named and
+// stays as it was. Calls must not overlap.
+func (s *Server) Reload(start *terms.Start, err error) {
+	if err == nil {
+		_, _, err = check(start, discovery.Reader{Zones: start.Terms.Zones, Cells: start.Terms.Module.Cells})
+	}
+	if err != nil {
+		slog.Error("configuration not taken; the old one stays in force", "error", err)
+		return
+	}
+	fixed := s.start.Differs(start)
+	if s.asked != start.Discovery {
+		s.asked = start.Discovery
+		s.nodeList.Move(start.Discovery.String())
+	}
+	slog.Info("configuration taken", "discovery", start.Discovery, "needs_restart", fixed)
+}
+
 // Open opens what the broker listens on. It serves nothing yet.
 func (s *Server) Open() (err error) {
 	if s.listener, err = net.Listen("tcp", s.start.Listen.String()); err != nil {
@@ -107,12 +144,9 @@
 	limits := store.Limits{Streams: t.Streams, Idle: t.Idle, Dial: t.Dial, Silent: s.longest, Conns: forNodes}
 	s.loop.pool = store.NewPool(s.ctx, limits, store.DialTCP, s.loop.since, s.group.Go,
 		func(e store.Event) { s.deliver(e) }, s.loop.subrequestEnded)
-	client := discovery.NewClient(s.start.Discovery.String(), s.reader, t.AskEvery, s.list.Version, s.known,
-		func(list *discovery.List, err error) { s.deliver(listed{list, err}) })
-	s.loop.ask = client.Ask
 	s.loop.list(s.list, nil)
 	s.group.Go(func() error { return s.loop.run(s.ctx) })
-	s.group.Go(func() error { return client.Run(s.ctx) })
+	s.group.Go(func() error { return s.nodeList.Run(s.ctx) })
 	if s.link != nil {
 		s.group.Go(func() error { return s.link.Send(s.ctx) })
 		s.group.Go(func() error { return s.link.Hear(s.ctx) })
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -368,3 +368,42 @@
 		t.Errorf("second step: %v", err)
 	}
 }
+
+// A reload moves discovery and leaves all else, a search in hand included; a bad one changes nothing.
+func TestReload(t *testing.T) {
+	s, end := live(t, 64)
+	c := dial(t, s)
+	io.WriteString(c, hanging("r1", "300"))
+	asks := listen(t)
+	next := *s.start
+	next.Discovery = asks.Addr().(*net.TCPAddr).AddrPort()
+	next.Limits.Sockets = 1
+	bad := next
+	bad.Known = []byte("{}")
+	s.Reload(&bad, nil)
+	s.Reload(nil, io.ErrUnexpectedEOF)
+	if s.asked != s.start.Discovery {
+		t.Errorf("a bad configuration moved discovery to %v", s.asked)
+	}
+	s.Reload(&next, nil)
+	conn, err := asks.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m, err := httpwire.ReadRequest(httpwire.NewReader(conn)); err != nil || m.Path != "/discovery/hosts" || m.Query != "" {
+		t.Errorf("the new service was asked %+v, %v", m, err)
+	}
+	if got := strings.Join(s.start.Differs(&next), " "); got != "limits" {
+		t.Errorf("only a restart takes over %q", got)
+	}
+	s.Reload(s.start, nil)
+	if m := c.hear(); m.Status != 503 && m.Status != 504 {
+		t.Errorf("the search in hand: %d", m.Status)
+	}
+	if m := c.say(post("r2", body)); m.Status != 200 {
+		t.Errorf("after the reload: %d", m.Status)
+	}
+	if err := end(); err != nil {
+		t.Error(err)
+	}
+}
--- a/terms/start.go
+++ b/terms/start.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 )
 
@@ -90,3 +92,26 @@
 	}
 	return s, nil
 }
+
+// Differs names the fields in which another configuration says something that only a restart could take over.
+func (s *Start) Differs(o *Start) (fields []string) {
+	mine, theirs := s.Terms, o.Terms
+	mine.Module.Seed = theirs.Module.Seed // is new with each start
+	for _, f := range []struct {
+		name string
+		same bool
+	}{
+		{"name", s.Name == o.Name},
+		{"listen", s.Listen == o.Listen},
+		{"limits", s.Limits == o.Limits},
+		{"peer_listen", s.PeerListen == o.PeerListen},
+		{"peers", slices.Equal(s.Peers, o.Peers)},
+		{"peers_all", s.PeersAll == o.PeersAll},
+		{"settings", reflect.DeepEqual(mine, theirs)},
+	} {
+		if !f.same {
+			fields = append(fields, f.name)
+		}
+	}
+	return fields
+}
