Spoilt answers end the node's connection at once; ended nodes and old ids are forgotten

An answer to an id that is not out counted as late and the part waited for its time (store.Handle); a frame that never filled held its connection to the silence bound (readFrame without a time); a load report with a space spoilt a good answer (parseAnswer). Nodes that the list ended stayed for ever in loop.nodes, Pool.nodes and Pool.order; ids of parts given up are kept 256 a connection. What a frame claims gets room only as it comes.

--- a/server/loop.go
+++ b/server/loop.go
@@ -271,11 +271,12 @@
 			slog.Error("two nodes share an id", "node", n.Name, "other", last.Name)
 			continue
 		}
-		l.nodes[id] = *n
 		e.Entries = append(e.Entries, n.Entry)
 		if n.Entry.State == broker.Gone {
-			l.pool.CloseIdle(id, "gone")
+			delete(l.nodes, id)
+			l.pool.Drop(id)
 		} else {
+			l.nodes[id] = *n
 			l.pool.Point(id, n.Name, n.Addr, n.Entry.Boot)
 		}
 		if !known || last != *n {
@@ -283,6 +284,13 @@
 				"zone", n.Entry.Zone, "cell", n.Entry.Cell)
 		}
 	}
+	for id, n := range l.nodes {
+		if list.Whole && !slices.ContainsFunc(e.Entries, func(o broker.Entry) bool { return o.Node == id }) {
+			slog.Info("node unlisted", "node", n.Name, "id", id)
+			delete(l.nodes, id)
+			l.pool.Drop(id)
+		}
+	}
 	l.events = append(l.events, e)
 }
 
--- a/server/loop_test.go
+++ b/server/loop_test.go
@@ -95,6 +95,8 @@
 	return nil
 }
 
+func (l *link) SetReadDeadline(time.Time) error { return nil }
+
 // TryWrite is a node that gets one frame whole, checks the rules and answers as chance has it.
 func (l *link) TryWrite(b []byte) (int, error) {
 	w := l.w
--- a/store/frame.go
+++ b/store/frame.go
@@ -7,15 +7,20 @@
 	"bufio"
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"time"
 	"unicode/utf8"
 )
 
 // maxFrame bounds what a node may send in one frame.
-const maxFrame = 64 << 10
+const (
+	maxFrame   = 64 << 10
+	usualFrame = 1 << 10 // room for so much at first
+)
 
 // End tells how a node says that a part ended.
 type End uint8
@@ -51,30 +56,35 @@
 	return append(append(b, 'c'), id...)
 }
 
-// readFrame reads one frame into buf, which it may replace by a larger one.
-func readFrame(r *bufio.Reader, buf []byte) (letter byte, rest, next []byte, err error) {
+// readFrame reads one frame. What it claims to hold is given room only as it comes.
+func readFrame(r *bufio.Reader) (letter byte, rest []byte, err error) {
 	var head [4]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return 0, nil, buf, err
+		return 0, nil, err
 	}
 	n := binary.LittleEndian.Uint32(head[:])
 	if n < 1 || n > maxFrame {
-		return 0, nil, buf, fmt.Errorf("%w: length %d", errFrame, n)
-	}
-	if int(n) > cap(buf) {
-		buf = make([]byte, n)
+		return 0, nil, fmt.Errorf("%w: length %d", errFrame, n)
 	}
-	buf = buf[:n]
-	if _, err := io.ReadFull(r, buf); err != nil {
-		return 0, nil, buf, io.ErrUnexpectedEOF
+	frame := make([]byte, 0, min(n, usualFrame))
+	for len(frame) < int(n) {
+		frame = slices.Grow(frame, 1)
+		more := frame[len(frame):min(int(n), cap(frame))]
+		if _, err := io.ReadFull(r, more); errors.Is(err, io.EOF) {
+			return 0, nil, io.ErrUnexpectedEOF
+		} else if err != nil {
+			return 0, nil, err
+		}
+		frame = frame[:len(frame)+len(more)]
 	}
-	return buf[0], buf[1:], buf, nil
+	return frame[0], frame[1:], nil
 }
 
-// parseAnswer reads what follows the letter of an answer.
+// parseAnswer reads what follows the letter of an answer. The load report that ends its line is not used: one that
+// can't be read spoils nothing.
 func parseAnswer(rest []byte) (a Answer, err error) {
 	line, value, ok := bytes.Cut(rest, []byte{'\n'})
-	words := bytes.Split(line, []byte{' '})
+	words := bytes.SplitN(line, []byte{' '}, 4)
 	if !ok || len(words) != 4 || len(words[0]) == 0 {
 		return a, fmt.Errorf("%w: answer line %.60q", errFrame, line)
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"syscall"
 	"time"
@@ -45,7 +46,7 @@
 type Limits struct {
 	Streams int           // parts a connection carries at once
 	Idle    time.Duration // nodes close a connection that idled so long
-	Dial    time.Duration
+	Dial    time.Duration // a connection that is not up by then has failed, and so has a frame that is not whole
 	Silent  time.Duration // a connection that owed answers so long and said nothing is taken for dead
 	Conns   int           // over all nodes
 }
@@ -53,6 +54,7 @@
 // Conn is a connection to a node. TryWrite hands over what it takes at once and returns how much that is.
 type Conn interface {
 	io.ReadCloser
+	SetReadDeadline(t time.Time) error
 	TryWrite(b []byte) (int, error)
 }
 
@@ -63,8 +65,8 @@
 type Counts struct {
 	Dials, Ended, Calls, Parts, Cancels uint64
 	Served, Broke, Skipped              uint64
-	Late                                uint64 // answers to parts that are not out: called off, twice, unknown
-	Bad                                 uint64 // frames that made no sense
+	Late                                uint64 // answers to parts that were called off
+	Bad                                 uint64 // frames that made no sense or were never whole
 }
 
 // Event is what a connection's goroutine delivers to the loop.
@@ -102,7 +104,9 @@
 }
 
 type node struct {
+	id    broker.NodeID
 	name  string
+	gone  bool // the list ended it; forgotten with its last connection
 	addr  netip.AddrPort
 	boot  time.Duration
 	conns []*conn
@@ -117,12 +121,36 @@
 	last   time.Duration // when something last passed
 	owes   time.Duration // since when it was sent calls and said nothing; 0: it owes none
 	out    map[string]*Part
+	off    []string // ids of parts given up, that may still be answered; the last offMost of them
+	offs   int
 	queue  [][]*Part // calls that wait for the connection to come up; no more parts than streams
 	served int
 	reason string // why the loop closed it
 	closed bool
 }
 
+// offMost bounds the ids of parts given up that a connection remembers. Of older ones the node has heard long ago.
+const offMost = 256
+
+// giveUp keeps the id of a part that the node may still answer.
+func (c *conn) giveUp(id string) {
+	if len(c.off) < offMost {
+		c.off = append(c.off, id)
+	} else {
+		c.off[c.offs%offMost] = id
+	}
+	c.offs++
+}
+
+// gaveUp tells whether a part of that id was given up; it is answered once at the most.
+func (c *conn) gaveUp(id string) bool {
+	at := slices.Index(c.off, id)
+	if at >= 0 {
+		c.off[at] = ""
+	}
+	return at >= 0
+}
+
 // NewPool makes a pool. Goroutines run under start and end with ctx; post delivers to the loop, ended tells it.
 func NewPool(ctx context.Context, limits Limits, open Dialer, since func() time.Duration, start func(func() error),
 	post func(Event), ended func(*Part, broker.Outcome, time.Duration, string)) *Pool {
@@ -134,10 +162,11 @@
 func (p *Pool) Point(id broker.NodeID, name string, addr netip.AddrPort, boot time.Duration) {
 	n := p.nodes[id]
 	if n == nil {
-		n = &node{name: name, addr: addr, boot: boot}
+		n = &node{id: id, name: name, addr: addr, boot: boot}
 		p.nodes[id] = n
 		p.order = append(p.order, n)
 	}
+	n.gone = false
 	n.addr = addr // what goes to an older one carries on with what it has, and gets nothing new
 	p.closeWhere(n, "moved", func(c *conn) bool { return c.addr != addr && len(c.out) == 0 })
 	if boot > n.boot {
@@ -146,6 +175,14 @@
 	}
 }
 
+// Drop takes a node out that the list ended. What is out carries on; then it is forgotten.
+func (p *Pool) Drop(id broker.NodeID) {
+	if n := p.nodes[id]; n != nil {
+		n.gone = true
+		p.CloseIdle(id, "gone")
+	}
+}
+
 // Send writes the parts to a node as one call. The slice is the pool's from here on.
 func (p *Pool) Send(id broker.NodeID, parts []*Part) {
 	n := p.nodes[id]
@@ -247,11 +284,15 @@
 	defer stop()
 	p.post(Event{conn: c, kind: up, at: p.since(), up: nc})
 	r := bufio.NewReaderSize(nc, 4<<10)
-	var buf []byte
 	for {
 		var letter byte
 		var rest []byte
-		letter, rest, buf, err = readFrame(r, buf)
+		if _, err = r.Peek(1); err == nil {
+			// Danger: a length that never fills swallows what else comes, and all that is out waits in vain.
+			nc.SetReadDeadline(time.Now().Add(p.limits.Dial))
+			letter, rest, err = readFrame(r)
+			nc.SetReadDeadline(time.Time{})
+		}
 		at := p.since()
 		if err == nil && letter == 'a' {
 			var a Answer
@@ -294,10 +335,17 @@
 	case answered:
 		c.owes = 0
 		part := c.out[e.answer.ID]
-		if part == nil {
+		if part == nil && (c.closed || c.gaveUp(e.answer.ID)) {
 			p.Counts.Late++
 			return
 		}
+		if part == nil {
+			// Danger: an answer to nothing that was asked. Whose it was can't be told, and nothing that follows
+			// it can be trusted either; the parts that are out would wait for their time.
+			p.Counts.Bad++
+			p.close(c, "unknown_answer")
+			return
+		}
 		c.last = e.at
 		c.served++
 		how := broker.OK
@@ -316,7 +364,7 @@
 		reason := c.reason
 		if !c.closed {
 			reason = why(e.err, c.up != nil)
-			if errors.Is(e.err, errFrame) {
+			if reason == "bad_frame" || reason == "slow_frame" {
 				p.Counts.Bad++
 			}
 			p.drop(c, e.at)
@@ -342,6 +390,8 @@
 		return "dial_timeout"
 	case !wasUp:
 		return "dial_failed"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "slow_frame"
 	case errors.Is(err, syscall.ECONNRESET):
 		return "reset"
 	default:
@@ -425,6 +475,8 @@
 			// Before the node does it: a part that crosses the node's close would be lost.
 			if end := c.last + p.limits.Idle - p.limits.Dial; len(c.out) > 0 {
 				continue
+			} else if n.gone {
+				p.close(c, "gone")
 			} else if end <= now {
 				p.close(c, "idle")
 			} else {
@@ -432,6 +484,13 @@
 			}
 		}
 	}
+	p.order = slices.DeleteFunc(p.order, func(n *node) bool {
+		forget := n.gone && len(n.conns) == 0
+		if forget {
+			delete(p.nodes, n.id)
+		}
+		return forget
+	})
 	return next
 }
 
@@ -477,6 +536,9 @@
 	part.over = true
 	if part.conn != nil && part.conn.out[part.ID] == part {
 		delete(part.conn.out, part.ID)
+		if part.written && (how == broker.Cancelled || how == broker.TimedOut) {
+			part.conn.giveUp(part.ID)
+		}
 	}
 	p.ended(part, how, at, value)
 }
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"syscall"
 	"testing"
@@ -45,7 +46,7 @@
 		}
 	}
 	for _, bad := range [][]byte{{0, 0, 0, 0}, {0xff, 0xff, 0xff, 0xff}, frame('a', "cut")[:6]} {
-		if _, _, _, err := readFrame(bufio.NewReader(bytes.NewReader(bad)), nil); err == nil || err == io.EOF {
+		if _, _, err := readFrame(bufio.NewReader(bytes.NewReader(bad))); err == nil || err == io.EOF {
 			t.Errorf("%v: got %v", bad, err)
 		}
 	}
@@ -61,11 +62,23 @@
 	refuse error // what a write tells
 	takes  int   // bytes that a write takes; 0: all
 	closed bool
+	until  time.Time // a read waits no longer
+}
+
+func (p *pipe) SetReadDeadline(t time.Time) error {
+	p.until = t
+	return nil
 }
 
 func (p *pipe) Read(b []byte) (int, error) {
 	for len(p.rest) == 0 {
+		var over <-chan time.Time
+		if !p.until.IsZero() {
+			over = time.After(time.Until(p.until))
+		}
 		select {
+		case <-over:
+			return 0, os.ErrDeadlineExceeded
 		case p.rest = <-p.say:
 		case <-p.ended:
 			return 0, p.reset
@@ -190,11 +203,11 @@
 		b.pipes[1].say <- frame('a', "a.3 skipped - -\n")
 		b.settle()
 		b.expect("a.1 0", "a.2 1v2", "a.3 2")
-		b.pipes[0].say <- frame('a', "a.2 served 1 -\nv2") // twice
-		b.pipes[0].say <- frame('a', "zz.9 served 1 -\nv") // never asked
+		b.Cancel(b.send("a.4")[0])
+		b.pipes[0].say <- frame('a', "a.4 served 1 -\nv4") // it crossed the cancel
 		b.settle()
-		b.expect()
-		if b.Counts.Late != 2 || b.Counts.Served != 1 || b.Open() != 2 {
+		b.expect("a.4 6")
+		if b.Counts.Late != 1 || b.Counts.Served != 1 || b.Open() != 2 {
 			t.Errorf("%+v, %d open", b.Counts, b.Open())
 		}
 	})
@@ -216,17 +229,75 @@
 		b.pipes[0].end(syscall.ECONNRESET)
 		b.settle()
 		b.expect("a.3 5")
-		for i, bad := range [][]byte{frame('x', ""), frame('a', "nonsense"), frame('e', "no such shard"), {0, 0, 0, 0}} {
-			b.send("b.1")
-			b.pipes[1+i].say <- bad
+	})
+}
+
+// A spoilt answer ends the connection and all that is out on it, at once, or where it never becomes whole after the
+// time of a dial; what was good before it, or brings only a report that can't be read, is kept.
+func TestSpoiltAnswers(t *testing.T) {
+	good := frame('a', "b.1 served 1 -\nv")
+	for _, c := range []struct {
+		say  string
+		want []string
+		bad  uint64
+	}{
+		{string(frame('x', "")), []string{"b.1 5", "b.2 5"}, 1},
+		{string(frame('a', "nonsense")), []string{"b.1 5", "b.2 5"}, 1},
+		{string(frame('a', "b.1 done 1 -\nv")), []string{"b.1 5", "b.2 5"}, 1},
+		{string(frame('e', "no such shard")), []string{"b.1 5", "b.2 5"}, 0},
+		{"\x00\x00\x00\x00", []string{"b.1 5", "b.2 5"}, 1},
+		{"\x00\x00\x00\xc0ab.1 served 1 -\nv", []string{"b.1 5", "b.2 5"}, 1},     // 3 GB
+		{"\x00\x40\x00\x00ab.1 served 1 -\nvvvvv", []string{"b.1 5", "b.2 5"}, 1}, // never whole
+		{string(frame('a', "b.9 served 1 -\nv")), []string{"b.1 5", "b.2 5"}, 1},
+		{string(good) + "noise that is long", []string{"b.1 1v", "b.2 5"}, 1},
+		{string(good) + string(good), []string{"b.1 1v", "b.2 5"}, 1},
+		{string(frame('a', "b.1 served 1 load of nodes\nv")), []string{"b.1 1v"}, 0},
+	} {
+		run(t, usual, func(b *bench) {
+			b.send("b.1", "b.2")
+			b.pipes[0].say <- []byte(c.say)
+			b.settle()
+			time.Sleep(usual.Dial)
 			b.settle()
-			b.expect("b.1 5")
-			if !b.pipes[1+i].closed {
-				t.Errorf("%q: the connection stays open", bad)
+			b.expect(c.want...)
+			if over := len(c.want) > 1; b.pipes[0].closed != over || b.Counts.Bad != c.bad {
+				t.Errorf("%q: closed %v, %+v", c.say, b.pipes[0].closed, b.Counts)
 			}
+		})
+	}
+}
+
+// What a connection remembers of parts given up is bounded, and a node that the list ended is forgotten with its last
+// connection.
+func TestNodesAndIDsAreForgotten(t *testing.T) {
+	run(t, usual, func(b *bench) {
+		for i := range 3 * offMost {
+			b.Cancel(b.send(fmt.Sprint("a.", i))[0])
 		}
-		if b.Counts.Bad != 3 || b.Open() != 0 {
-			t.Errorf("%+v, %d open", b.Counts, b.Open())
+		b.pipes[0].say <- frame('a', fmt.Sprintf("a.%d served 1 -\nv", 3*offMost-1))
+		b.settle()
+		if c := b.nodes[at].conns[0]; len(c.off) > offMost || b.Counts.Late != 1 || b.Open() != 1 {
+			t.Errorf("%d ids kept, %+v", len(c.off), b.Counts)
+		}
+		b.ends = nil
+		b.send("b.1")
+		for i := range 100 {
+			id := broker.NodeID{Port: uint16(100 + i)}
+			b.Point(id, "s", netip.MustParseAddrPort("127.0.0.1:9"), broker.NoBoot)
+			b.Drop(id)
+			b.Drop(at)
+			b.Sweep(b.since())
+		}
+		if len(b.nodes) != 1 || len(b.order) != 1 {
+			t.Errorf("%d nodes kept while one has a part out", len(b.nodes))
+		}
+		b.pipes[0].say <- frame('a', "b.1 served 1 -\nv")
+		b.settle()
+		b.expect("b.1 1v")
+		b.Sweep(b.since())
+		b.settle()
+		if len(b.nodes)+len(b.order)+b.Open() != 0 || !b.pipes[0].closed {
+			t.Errorf("%d nodes, %d connections kept", len(b.nodes), b.Open())
 		}
 	})
 }
@@ -399,8 +470,10 @@
 
 func FuzzAnswer(f *testing.F) {
 	f.Add(frame('a', "9b.3 served 1840277719 -\n5be2"))
+	f.Add(frame('a', "9b.3 served 1 queue of 3\nv"))
+	f.Add([]byte("\x00\x00\x00\xc0ab.1 served 1 -\nv"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		letter, rest, _, err := readFrame(bufio.NewReader(bytes.NewReader(data)), nil)
+		letter, rest, err := readFrame(bufio.NewReader(bytes.NewReader(data)))
 		if err == nil && letter == 'a' {
 			if a, err := parseAnswer(rest); err == nil && a.ID == "" {
 				t.Errorf("%q has no id", rest)
