A client's first request is whole 2.5 s after connecting, or told so; bad ones end the connection

The time of a first request counted from its first byte and silence was allowed for the nodes' idle time (converse, patience); now both count from connecting. A head is at most 16 KiB in all (64 lines of 4 KiB let 160 connections take 40 MB); bodies get room as they come; lines on useless connections are 20 a second at most.

--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -9,15 +9,18 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 )
 
-// MaxBody bounds a body, maxLine a line and maxFields the header fields of a head.
+// MaxBody bounds a body, maxLine a line, maxFields the header fields of a head and maxHead their bytes together.
 const (
 	MaxBody   = 64 << 10
 	maxLine   = 4 << 10
 	maxFields = 64
+	maxHead   = 16 << 10
+	usualBody = 1 << 10 // room for so much at first
 )
 
 // Fault is a message that can't be used. The connection it came on can't be trusted any more.
@@ -149,8 +152,7 @@
 	case length > MaxBody:
 		return fault(413, "body of %d bytes", length)
 	case length > 0:
-		m.Body = make([]byte, length)
-		_, err = io.ReadFull(r, m.Body)
+		m.Body, err = appendFrom(nil, r, length)
 	case length < 0 && response && m.Status != 204 && m.Status != 304: // it ends with the connection
 		m.Close = true
 		if m.Body, err = io.ReadAll(io.LimitReader(r, MaxBody+1)); len(m.Body) > MaxBody {
@@ -160,7 +162,21 @@
 	return err
 }
 
+// appendFrom reads so many bytes more. What is claimed is given room only as it comes.
+func appendFrom(b []byte, r io.Reader, n int) ([]byte, error) {
+	for end := len(b) + n; len(b) < end; {
+		b = slices.Grow(b, min(end-len(b), usualBody))
+		more := b[len(b):min(end, cap(b))]
+		if _, err := io.ReadFull(r, more); err != nil {
+			return nil, err
+		}
+		b = b[:len(b)+len(more)]
+	}
+	return b, nil
+}
+
 func readFields(r *bufio.Reader) (fields []Field, err error) {
+	size := 0
 	for {
 		line, err := readLine(r)
 		if err != nil || line == "" {
@@ -170,8 +186,8 @@
 		if !ok || !isToken(name) {
 			return nil, fault(400, "header line %.60q", line)
 		}
-		if len(fields) == maxFields {
-			return nil, fault(431, "more than %d header fields", maxFields)
+		if size += len(line); len(fields) == maxFields || size > maxHead {
+			return nil, fault(431, "more than %d header fields, or %d bytes of them", maxFields, maxHead)
 		}
 		value = strings.Trim(value, " \t")
 		if strings.ContainsAny(value, "\x00\r") {
@@ -200,9 +216,7 @@
 		if len(body)+int(n) > MaxBody {
 			return nil, fault(413, "chunks beyond %d bytes", MaxBody)
 		}
-		at := len(body)
-		body = append(body, make([]byte, n)...)
-		if _, err := io.ReadFull(r, body[at:]); err != nil {
+		if body, err = appendFrom(body, r, int(n)); err != nil {
 			return nil, err
 		}
 		if line, err := readLine(r); err != nil {
--- a/server/client.go
+++ b/server/client.go
@@ -21,14 +21,20 @@
 
 var past = time.Unix(1, 0) // a deadline that wakes whoever reads
 
+// wholeWithin is the time in which a request must be whole: the first one of a connection from when that was accepted, a
+// later one from its first byte. The protocol owes a client that brings none an error or a close 3 s after connecting.
+const wholeWithin = 2500 * time.Millisecond
+
 // client is one client connection.
 type client struct {
 	net.Conn
 	in       *bufio.Reader
 	out      []byte
+	opened   time.Time
 	requests int
 
 	crowded bool // there was no room for it: its search is shed, and then it ends
+	useful  bool // it has brought a request that could be taken
 
 	// guarded by clients.mu
 	state state
@@ -60,10 +66,34 @@
 	moment  time.Duration // in which a request comes whole, as a rule
 	room    chan struct{} // told when one ends or falls idle
 	closing bool          // idle ones are closed at once
+	lines   lines
 
 	accepted, closed, refused, unwritten atomic.Uint64
 }
 
+// lines bounds the log lines on connections that brought nothing of use. Danger: whoever opens thousands a second
+// would fill the log and take the core with it. What is left out is counted and said with the next line.
+type lines struct {
+	second int64
+	n      int
+	left   int
+}
+
+const linesASecond = 20
+
+// one tells whether another line may be written now, and how many were left out before it. The caller holds mu.
+func (l *lines) one(now time.Time) (ok bool, left int) {
+	if s := now.Unix(); s != l.second {
+		l.second, l.n = s, 0
+	}
+	if l.n++; l.n > linesASecond {
+		l.left++
+		return false, 0
+	}
+	left, l.left = l.left, 0
+	return true, left
+}
+
 // admit counts a connection in, or tells that there is no room.
 func (cs *clients) admit(c *client) bool {
 	cs.mu.Lock()
@@ -125,12 +155,17 @@
 	}
 }
 
-func (cs *clients) remove(c *client) {
+// remove takes a connection off the books and tells whether its end is to be logged.
+func (cs *clients) remove(c *client) (logged bool, left int) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	delete(cs.all, c)
 	cs.closed.Add(1)
 	cs.tellRoom()
+	if c.useful {
+		return true, 0
+	}
+	return cs.lines.one(time.Now())
 }
 
 // closeIdle closes idle connections, now and whenever one falls idle.
@@ -163,7 +198,7 @@
 			}
 			continue
 		}
-		c := &client{Conn: conn, in: httpwire.NewReader(conn)}
+		c := &client{Conn: conn, in: httpwire.NewReader(conn), opened: time.Now()}
 		for !s.clients.admit(c) {
 			if !s.waitForRoom(ctx) {
 				conn.Close()
@@ -197,19 +232,25 @@
 	reason := s.converse(ctx, c)
 	stop()
 	c.Close()
-	s.clients.remove(c)
-	slog.Info("client connection ended", "from", c.RemoteAddr(), "reason", reason, "requests", c.requests)
+	if ok, left := s.clients.remove(c); ok {
+		slog.Info("client connection ended", "from", c.RemoteAddr(), "reason", reason, "requests", c.requests,
+			"lines_left_out", left)
+	}
 }
 
 // converse answers one request after the other and returns why the connection ends.
 func (s *Server) converse(ctx context.Context, c *client) string {
 	for {
-		c.SetReadDeadline(time.Now().Add(s.start.Terms.Idle))
+		if c.requests == 0 {
+			c.SetReadDeadline(c.opened.Add(wholeWithin))
+		} else {
+			c.SetReadDeadline(time.Now().Add(s.start.Terms.Idle))
+		}
 		if ended := s.clients.turn(c, idle); ended != "" {
 			return ended
 		}
 		_, err := c.in.Peek(1)
-		c.SetReadDeadline(time.Now().Add(s.patience(c)))
+		c.SetReadDeadline(s.whole(c))
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.pending() {
 			_, err = c.in.Peek(1)
 		}
@@ -248,12 +289,16 @@
 	}
 }
 
-// patience is how long a request may take to come whole.
-func (s *Server) patience(c *client) time.Duration {
-	if c.crowded {
-		return s.clients.moment
+// whole is when a request whose first byte is there must have come whole, however slowly its bytes go on coming.
+func (s *Server) whole(c *client) time.Time {
+	switch {
+	case c.crowded:
+		return time.Now().Add(s.clients.moment)
+	case c.requests == 0:
+		return c.opened.Add(max(wholeWithin, time.Since(c.opened)+s.clients.moment)) // what came late gets a moment
+	default:
+		return time.Now().Add(min(s.longest, wholeWithin))
 	}
-	return s.longest
 }
 
 // pending tells whether bytes have come that were not read. Danger: an idle connection is ended just when its next
@@ -297,10 +342,12 @@
 		return s.reply(c, httpwire.AppendResponse(c.out[:0], 200, last, text, "Content-Type: application/json"), last)
 	}
 	a, bad := decodeAsk(m, &s.start.Terms)
-	if bad != nil {
+	if bad != nil { // whoever sends such a one gets no second try on the same connection
 		s.clients.refused.Add(1)
-		return s.reply(c, httpwire.AppendResponse(c.out[:0], bad.status, last, []byte(bad.why+"\n")), last)
+		s.part(c, bad.status, bad.why)
+		return "bad_request"
 	}
+	c.useful = true
 	return s.search(ctx, c, a, arrived, last)
 }
 
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -188,13 +188,13 @@
 	}
 }
 
-// Bad input is told so; no part of it is sent, and the connection lives where its framing does.
+// Bad input is told so and ends the connection; no part of it is sent, nor what hides behind it.
 func TestBadAsks(t *testing.T) {
 	s, _ := live(t, 1024)
 	for _, c := range []struct {
 		old, new string
 		status   int
-		closed   bool
+		spoils   bool // its framing too
 	}{
 		{"POST /find", "POST /lost", 404, false},
 		{"POST /find", "PUT /find", 405, false},
@@ -224,18 +224,20 @@
 		{"c41e", "c41\xff", 400, false},
 	} {
 		text := strings.Replace(post("x", body), c.old, c.new, 1)
-		if at := strings.Index(text, "{"); at > 0 && !c.closed { // the length is right in any case
+		if at := strings.Index(text, "{"); at > 0 && !c.spoils { // the length is right in any case
 			start, rest := text[:strings.Index(text, "Content-Length")], text[strings.Index(text, "\r\n\r\n")+4:]
 			text = fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", start, len(rest), rest)
 		}
 		to := dial(t, s)
-		if m := to.say(text); m.Status != c.status || m.Close != c.closed {
+		if m := to.say(text + post("behind", body)); m.Status != c.status || !m.Close {
 			t.Errorf("%q: %d, closed %v: %s", c.new, m.Status, m.Close, m.Body)
-		} else if !c.closed {
-			if m := to.say(post("good", body)); m.Status != 200 {
-				t.Errorf("after %q: %d %s", c.new, m.Status, m.Body)
-			}
 		}
+		if b, err := to.in.ReadByte(); err != io.EOF {
+			t.Errorf("after %q: %q, %v", c.new, b, err)
+		}
+	}
+	if m := dial(t, s).say(post("good", body)); m.Status != 200 {
+		t.Errorf("an ordinary search: %d %s", m.Status, m.Body)
 	}
 	slow, cut := dial(t, s), dial(t, s)
 	io.WriteString(cut, post("x", body)[:100])
