--- a/broker/broker.go
+++ b/broker/broker.go
@@ -99,13 +99,13 @@
 type ActionKind uint8
 
 const (
-	Send      ActionKind = iota + 1 // ID, Node
+	Send      ActionKind = iota + 1 // ID, Node, Alone
 	Shed                            // ID, After
 	Fail                            // ID
 	Answer                          // ID, Whole
 	Cancel                          // ID, Attempt
 	Wake                            // At
-	Close                           // Node: idle connections to it
+	Close                           // Node: its connections, once they are idle; none of them gets more
 	Subscribe                       // ask for the list and its changes
 	Log                             // Text
 	Tell                            // Text: a message to all other brokers, which may be lost
@@ -115,6 +115,7 @@
 type Action struct {
 	Kind    ActionKind
 	Whole   bool
+	Alone   bool // its call shares a connection with no other, where there is one for it
 	Attempt uint16
 	Node    NodeID
 	ID      uint64
--- a/logic/actors.go
+++ b/logic/actors.go
@@ -16,7 +16,6 @@
 	sweep                    // desk: look at every search in hand
 	standing                 // desk: node's mode and cold share changed
 	listed                   // node, desk: a list line
-	unlisted                 // node: left the list
 	sent                     // node: a part went to it
 	ended                    // node: outcome, took
 	rumour                   // node: a peer tells that it is sick, or well again
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -84,8 +84,6 @@
 				n.l.logf("%v cold: started %v ago", n.id, now-b)
 			}
 		}
-	case unlisted:
-		n.ready = false
 	case rumour:
 		// Danger: each of many brokers meets a sick node by itself, each time anew. Where several peers call
 		// it sick it counts as limping, until it answers or time goes by. False rumours cost it some traffic.
@@ -113,6 +111,8 @@
 		n.unheard += time.Duration(k.calls) * min(now-n.ticked, wait)
 		exposed := wait > silentLeast && float64(n.unheard) > silentFactor*float64(k.limp)
 		if n.trusted && (wait > silentMost || exposed) {
+			// Danger: a connection fell silent, not its node, and each trial over it would tell nothing.
+			n.l.out = append(n.l.out, broker.Action{Kind: broker.Close, Node: n.id})
 			n.distrust("silent", wait.Seconds())
 		}
 		n.gap = k.gap
@@ -233,8 +233,7 @@
 
 func (d *desk) start(l *Logic) {
 	d.lay(l)
-	d.tokens = capDepth / 2
-	d.value, d.parts = 1, 1
+	d.tokens, d.value, d.parts = capDepth/2, 1, 1
 	least := never
 	for i := range l.t.Types {
 		least = min(least, l.t.Types[i].Target)
@@ -267,9 +266,7 @@
 		if p.done {
 			return
 		}
-		p.done = true
-		s.got += p.weight
-		s.in++
+		p.done, s.got, s.in = true, s.got+p.weight, s.in+1
 		d.record(e.Took)
 		d.heed(a, e.Took)
 		d.cancel(p)
@@ -352,7 +349,7 @@
 	l, s := d.l, &d.slab[slot]
 	act := broker.Action{Kind: broker.Fail, ID: s.id}
 	// Danger: the next search of its kind brings down as many nodes. For a while a few parts go ahead.
-	if broken := s.broke - s.in; broken > 1 && 2*broken > len(s.parts) && l.common() < shareAll {
+	if broken := s.broke - s.in; broken > 1 && 2*broken > len(s.parts) && !d.alike {
 		d.beWary(s.tenant)
 		l.spread(factTenant, broker.NodeID{Port: uint16(s.tenant)})
 		l.logf("tenant %d: parts go ahead: %d of %d broke connections", s.tenant, s.broke, len(s.parts))
@@ -597,9 +594,11 @@
 
 func (d *desk) doubt(z *zone) float64 { return z.doubt * kept(d.l.now-z.at, zoneFade) }
 
-// judge tells of each zone, once a turn, whether it is shunned.
+// judge tells, once a turn, of each zone whether it is shunned, and whether answers break from all nodes alike:
+// then what shares a connection is lost together, and each call gets one of its own.
 func (d *desk) judge() {
 	least := 1.0
+	d.alike = d.l.common() >= shareAll
 	for i := range d.zones {
 		least = min(least, d.doubt(&d.zones[i]))
 	}
@@ -648,7 +647,7 @@
 		l.out = append(l.out, broker.Action{Kind: broker.Close, Node: b.id})
 		p.tries[len(p.tries)-1].idle = 0
 	}
-	l.out = append(l.out, broker.Action{Kind: broker.Send, ID: p.id, Node: b.id})
+	l.out = append(l.out, broker.Action{Kind: broker.Send, ID: p.id, Node: b.id, Alone: d.alike})
 	l.post(&l.nodes[at].box, note{kind: sent})
 }
 
@@ -661,7 +660,7 @@
 		s.scout = false
 		d.launch(s)
 	}
-	suspect := s.broke > s.in && l.common() < shareAll
+	suspect := s.broke > s.in && !d.alike
 	out := suspect && slices.ContainsFunc(s.parts, func(p part) bool { return p.live > 0 })
 	over := suspect && !out && (s.broke > s.in+1 || s.scout)
 	for i := range s.parts {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -493,6 +493,9 @@
 					shut++
 				}
 			}
+			if sends := pick(r.actions, broker.Send); i > 800 && len(sends) > 0 {
+				must(t, sends[0].Alone != alone, "alone %v: a connection of its own: %v", alone, sends[0].Alone)
+			}
 		}
 		must(t, r.bad == "" && answers*100 > final*98, "alone %v: %d of %d answered, %s", alone, answers, final, r.bad)
 		must(t, alone && shut > 2000 || !alone && shut < 2000, "alone %v: shut for %d steps", alone, shut)
--- a/logic/state.go
+++ b/logic/state.go
@@ -284,6 +284,7 @@
 	short        bool          // of places
 	rates        []rate
 	zones        []zone
+	alike        bool            // parts break from all nodes alike
 	cut, fail    float64         // share of parts that fail over connections that idled, and over others
 	cutUntil     time.Duration   // idle connections are closed before use until then
 	idleMost     time.Duration   // those that idled for so long
@@ -514,7 +515,7 @@
 		for _, nd := range l.nodes {
 			if !slices.ContainsFunc(ev.Entries, func(e broker.Entry) bool { return e.Node == nd.id }) {
 				nd.left = min(nd.left, l.now)
-				l.post(&nd.box, note{kind: unlisted})
+				l.post(&nd.box, note{kind: listed, entry: broker.Entry{Cell: nd.cell, State: broker.Gone, Boot: nd.boot}})
 			}
 		}
 	}
--- a/server/loop.go
+++ b/server/loop.go
@@ -334,7 +334,7 @@
 			l.wake = max(1, a.At)
 		}
 	case broker.Close:
-		l.pool.CloseIdle(a.Node, "unused")
+		l.pool.Retire(a.Node)
 	case broker.Subscribe:
 		l.ask()
 	case broker.Log:
@@ -394,7 +394,7 @@
 	}
 	p := &s.parts[i]
 	t := &store.Part{ID: s.ask.parts[i].name, Shard: s.ask.parts[i].shard, Text: s.text, Deadline: s.deadline,
-		Sent: now, Part: a.ID, Attempt: uint16(len(p.tries)), Node: a.Node}
+		Sent: now, Part: a.ID, Attempt: uint16(len(p.tries)), Node: a.Node, Alone: a.Alone}
 	p.tries = append(p.tries, t)
 	l.tally.Subrequests++
 	for j := range l.calls {
--- a/store/store.go
+++ b/store/store.go
@@ -36,6 +36,7 @@
 	Part    uint64 // what the module calls it
 	Attempt uint16
 	Node    broker.NodeID
+	Alone   bool // its call shares a connection with no other while there are descriptors
 
 	conn    *conn
 	written bool
@@ -127,6 +128,8 @@
 	served int
 	reason string // why the loop closed it
 	closed bool
+
+	retired bool // it gets nothing more
 }
 
 // offMost bounds the ids of parts given up that a connection remembers. Of older ones the node has heard long ago.
@@ -191,7 +194,7 @@
 		return
 	}
 	for {
-		c := p.choose(n, len(parts))
+		c := p.choose(n, parts)
 		if c == nil {
 			p.end(parts, broker.ConnectFailed)
 			return
@@ -214,14 +217,18 @@
 // choose finds a connection with room, one that is up if possible, or opens one. Danger: a machine that vanished
 // and came back may leave an old connection silent for ever, and each trial over it would tell nothing. One that
 // said nothing for as long as any client waits gives way to a new one; a node that only hangs costs handshakes so.
-func (p *Pool) choose(n *node, parts int) *conn {
+func (p *Pool) choose(n *node, parts []*Part) *conn {
 	var best *conn
 	now := p.since()
 	p.closeWhere(n, "silent", func(c *conn) bool {
 		return len(c.out) == 0 && c.owes > 0 && now-c.owes > p.limits.Silent
 	})
+	room := p.limits.Streams - len(parts)
+	if parts[0].Alone {
+		room = 0
+	}
 	for _, c := range n.conns {
-		if c.addr == n.addr && len(c.out)+parts <= p.limits.Streams && (best == nil || best.up == nil && c.up != nil) {
+		if c.addr == n.addr && !c.retired && len(c.out) <= room && (best == nil || best.up == nil && c.up != nil) {
 			best = c
 		}
 	}
@@ -452,6 +459,16 @@
 	}
 }
 
+// Retire ends the connections to a node as soon as they carry nothing, and sends nothing more over them.
+func (p *Pool) Retire(id broker.NodeID) {
+	if n := p.nodes[id]; n != nil {
+		for _, c := range n.conns {
+			c.retired = true
+		}
+		p.CloseIdle(id, "unused")
+	}
+}
+
 // CloseIdle ends the connections to a node that carry nothing.
 func (p *Pool) CloseIdle(id broker.NodeID, reason string) {
 	if n := p.nodes[id]; n != nil {
@@ -477,6 +494,8 @@
 				continue
 			} else if n.gone {
 				p.close(c, "gone")
+			} else if c.retired {
+				p.close(c, "unused")
 			} else if end <= now {
 				p.close(c, "idle")
 			} else {
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -267,6 +267,36 @@
 	}
 }
 
+// Where the module wants it, a call shares a connection with no other while there are descriptors; retired ones carry on
+// with what they have and get no more.
+func TestAloneAndRetired(t *testing.T) {
+	run(t, usual, func(b *bench) {
+		for _, id := range []string{"a.1", "a.2", "a.3", "a.4", "a.5"} {
+			b.Send(at, []*Part{{ID: id, Text: "x", Deadline: time.Hour, Node: at, Alone: true}})
+			b.settle()
+		}
+		if len(b.pipes) != usual.Conns {
+			t.Fatalf("%d connections", len(b.pipes))
+		}
+		b.pipes[1].say <- frame('a', "a.2 served 1 -\nv")
+		b.settle()
+		b.Retire(at)
+		b.settle()
+		b.send("a.6")
+		if len(b.pipes) != usual.Conns+1 || len(b.pipes[usual.Conns].wrote) != 1 || !b.pipes[1].closed || b.pipes[2].closed {
+			t.Errorf("%d connections", len(b.pipes))
+		}
+		b.pipes[2].say <- frame('a', "a.3 served 1 -\nv")
+		b.settle()
+		b.Sweep(b.since())
+		b.settle()
+		b.expect("a.2 1v", "a.3 1v")
+		if !b.pipes[2].closed || b.Open() != usual.Conns-1 {
+			t.Errorf("%d open", b.Open())
+		}
+	})
+}
+
 // What a connection remembers of parts given up is bounded, and a node that the list ended is forgotten with its last
 // connection.
 func TestNodesAndIDsAreForgotten(t *testing.T) {
