A node that leaves its calls unheard is tried over a fresh connection before it is shut

Ruled out: the nodes (their other broker's connections answered), descriptors (62 of 1,024), CPU. At fault: the tick in node.read, which only knew how to shut, and did so late.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,6 +24,7 @@
 	samples, redraw, fewSamples = 96, 16, 24 // latencies kept; quantiles drawn anew after so many; from so many
 
 	silentFactor, silentLeast, silentMost = 5.0, 400 * time.Millisecond, 1500 * time.Millisecond
+	renewAt                               = 4                  // times p95: what a node is owed goes unheard
 	limpOn, limpMost                      = 2.0, 10.0          // limping: latency over the usual
 	limpFade, limpVisits                  = 5 * time.Second, 4 // memory; or usual gaps
 	doubtStep, doubtShut, doubtTrust      = 0.3, 0.45, 0.25    // a node's error share, lately
@@ -106,13 +107,16 @@
 		n.ended(k)
 	case tick:
 		// Danger: a node that takes parts and answers none, for any reason: since it was last heard its calls
-		// together have waited several times what is usual. It may hurt when a whole fleet stops at once.
+		// together have waited several times what is usual. It may hurt when a whole fleet stops at once. It may
+		// be a connection that fell silent: before, and once until the node is heard, a fresh one is tried.
 		wait := min(k.took, now-n.heard)
 		n.unheard += time.Duration(k.calls) * min(now-n.ticked, wait)
+		if n.renewed <= n.heard && n.unheard > renewAt*n.l.desk.p95 {
+			n.renewed = now
+			n.l.out = append(n.l.out, broker.Action{Kind: broker.Close, Node: n.id})
+		}
 		exposed := wait > silentLeast && float64(n.unheard) > silentFactor*float64(k.limp)
 		if n.trusted && (wait > silentMost || exposed) {
-			// Danger: a connection fell silent, not its node, and each trial over it would tell nothing.
-			n.l.out = append(n.l.out, broker.Action{Kind: broker.Close, Node: n.id})
 			n.distrust("silent", wait.Seconds())
 		}
 		n.gap = k.gap
@@ -207,8 +211,7 @@
 	if t := n.l.t; n.warming {
 		// Danger (rule 4): all brokers at once push a cold node over. Each keeps to a share of what it sends
 		// a like warm node, by a capacity that grows no slower than evenly, so that their sum holds.
-		age := n.l.now - n.since
-		if age >= t.WarmAfter {
+		if age := n.l.now - n.since; age >= t.WarmAfter {
 			n.warming = false
 			n.l.logf("%v warm", n.id)
 		} else {
@@ -390,8 +393,7 @@
 func (d *desk) settle(slot int32) {
 	s, now := &d.slab[slot], d.l.now
 	need, least := s.wants()
-	open := s.open()
-	enough := s.got >= least-eps
+	open, enough := s.open(), s.got >= least-eps
 	switch {
 	case s.got >= need-eps:
 		d.answer(slot, !s.stage2 || s.whole1)
@@ -448,8 +450,7 @@
 	if d.over(s.tenant) {
 		value *= l.t.OverShare
 	}
-	d.value += meanStep * (value - d.value)
-	d.parts += meanStep * (float64(len(s.parts)) - d.parts)
+	d.value, d.parts = d.value+meanStep*(value-d.value), d.parts+meanStep*(float64(len(s.parts))-d.parts)
 	bias := math.Pow(d.value/d.parts*float64(len(s.parts))/max(value, 0.01*d.value), worthBias)
 	left := s.deadline - l.now - s.spent
 	if left <= 0 { // its target has passed: it gives way to those that can still earn their full value
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -525,3 +525,20 @@
 	must(t, r.bad == "" && len(r.l.nodes) <= most && len(r.l.byID) <= most && held <= most && len(r.l.desk.board) <= most,
 		"%d nodes, %d ids, %d in cells kept, %s", len(r.l.nodes), len(r.l.byID), held, r.bad)
 }
+
+// A node that owes answers for long is tried over a fresh connection, once until it is heard, before it is shut.
+func TestSilentConnectionIsRenewed(t *testing.T) {
+	r, mute, closes, shut := newRig(smallTerms(), 6), nodeID(2), 0, 0
+	for i := range 1000 {
+		r.ask(0, 3*time.Second, 0, 1)
+		r.endWhere(broker.OK, 20*ms, func(n broker.NodeID) bool { return n != mute || i < 400 || closes > 0 })
+		for _, a := range pick(r.step(5*ms), broker.Close) {
+			must(t, a.Node == mute && i > 400, "a fresh connection to %v at step %d", a.Node, i)
+			closes++
+		}
+		if !r.l.nodes[2].trusted {
+			shut++
+		}
+	}
+	must(t, closes == 1 && shut == 0, "%d fresh connections, shut for %d steps", closes, shut)
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -249,6 +249,7 @@
 	until    time.Duration
 	unheard  time.Duration // how long its calls have waited together since
 	heard    time.Duration
+	renewed  time.Duration // when fresh connections to it were last asked for
 	warming  bool
 	since    time.Duration // cold start
 	told     note
