--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -502,28 +502,44 @@
 	}
 }
 
-// Nodes that are replaced under new ids all day leave nothing behind, though searches run on.
+// Nodes that are replaced under new ids all day leave nothing behind, though searches run on; a place that is used
+// again is in the new node's cell alone.
 func TestEndedNodesAreForgotten(t *testing.T) {
-	r := newRig(smallTerms(), 6)
-	for i := range 2000 {
+	terms, live := smallTerms(), []broker.Entry{}
+	terms.WarmAfter = time.Minute
+	r := newRig(terms, 6)
+	for i := range 6 {
+		live = append(live, broker.Entry{Node: nodeID(i), Cell: i % 2, State: broker.Ready, Boot: broker.NoBoot})
+	}
+	for i := range 3000 {
 		r.ask(i%2, 3*time.Second, 0, 1)
 		r.endWhere(broker.OK, 50*ms, nil)
 		if i%50 == 0 {
-			id := broker.NodeID{Addr: [4]byte{11, byte(i >> 8), byte(i)}, Port: 1}
-			r.list(broker.ListDelta, broker.Entry{Node: id, Cell: i / 50 % 2, State: broker.Ready, Boot: broker.NoBoot})
-		} else if i%50 == 25 {
-			id := broker.NodeID{Addr: [4]byte{11, byte((i - 25) >> 8), byte(i - 25)}, Port: 1}
-			r.list(broker.ListDelta, broker.Entry{Node: id, Cell: i / 50 % 2, State: broker.Gone})
+			var changes []broker.Entry
+			for j := range 1 + i/50%3 { // one, two or three at a time
+				e := &live[(i/50+j)%5]
+				old := *e
+				old.State, e.Boot = broker.Gone, r.now
+				e.Node = broker.NodeID{Addr: [4]byte{11, byte(i >> 8), byte(i), byte(j)}, Port: 1}
+				changes = append(changes, old, *e)
+			}
+			if i/50%2 == 0 {
+				r.list(broker.ListFull, live...)
+			} else {
+				r.list(broker.ListDelta, changes...)
+			}
 		}
 		r.step(20 * ms)
+		for c, at := range r.l.desk.cells {
+			for _, n := range at {
+				must(t, r.l.nodes[n].cell == c && r.l.desk.board[n].cell == c, "step %d: a node of cell %d in cell %d",
+					i, r.l.nodes[n].cell, c)
+			}
+		}
 	}
-	held := 0
-	for _, c := range r.l.desk.cells {
-		held += len(c)
-	}
-	most := 6 + 2 + int(r.l.longest/time.Second)
-	must(t, r.bad == "" && len(r.l.nodes) <= most && len(r.l.byID) <= most && held <= most && len(r.l.desk.board) <= most,
-		"%d nodes, %d ids, %d in cells kept, %s", len(r.l.nodes), len(r.l.byID), held, r.bad)
+	most := 6 + 3*(2+int(r.l.longest/time.Second))
+	must(t, r.bad == "" && len(r.l.nodes) <= most && len(r.l.byID) <= most && len(r.l.desk.board) <= most,
+		"%d nodes, %d ids kept, %s", len(r.l.nodes), len(r.l.byID), r.bad)
 }
 
 // A node that owes answers for long is tried over a fresh connection, once until it is heard, before it is shut.
--- a/logic/state.go
+++ b/logic/state.go
@@ -514,7 +514,7 @@
 	}
 	if ev.Kind == broker.ListFull {
 		for _, nd := range l.nodes {
-			if !slices.ContainsFunc(ev.Entries, func(e broker.Entry) bool { return e.Node == nd.id }) {
+			if k.knows(nd) && !slices.ContainsFunc(ev.Entries, func(e broker.Entry) bool { return e.Node == nd.id }) {
 				nd.left = min(nd.left, l.now)
 				l.post(&nd.box, note{kind: listed, entry: broker.Entry{Cell: nd.cell, State: broker.Gone, Boot: nd.boot}})
 			}
@@ -522,13 +522,19 @@
 	}
 }
 
+// knows tells whether a node still has its place.
+func (k *keeper) knows(nd *node) bool {
+	at, known := k.l.byID[nd.id]
+	return known && at == nd.at
+}
+
 // forget frees the places of nodes that the list ended so long ago that no search in hand can name them. Danger:
 // nodes are replaced under new ids all day, and what is kept of them would grow with every one ever seen.
 func (k *keeper) forget() {
 	l := k.l
 	for _, nd := range l.nodes {
 		b := &l.desk.board[nd.at]
-		if at, known := l.byID[nd.id]; !known || at != nd.at || nd.left == never || l.now-nd.left <= l.longest {
+		if !k.knows(nd) || nd.left == never || l.now-nd.left <= l.longest {
 			continue
 		}
 		cell := &l.desk.cells[b.cell%l.t.Cells]
--- a/server/loop.go
+++ b/server/loop.go
@@ -101,7 +101,7 @@
 	Full                                         uint64 // of those shed: no place or descriptor was left
 	Turns, Subrequests                           uint64
 	ListsTaken, ListsFailed                      uint64
-	NodeConns                                    int
+	Nodes, NodeConns                             int // now
 	Store                                        store.Counts
 }
 
@@ -109,6 +109,7 @@
 	start    time.Time
 	module   broker.Decider
 	maxOpen  int
+	comeBack time.Duration // for searches that find no place; 0: clients are not told
 	batch    int
 	in       chan any
 	pool     *store.Pool
@@ -136,7 +137,7 @@
 }
 
 func newLoop(start time.Time, module broker.Decider, t *broker.Terms) *loop {
-	return &loop{start: start, module: module, maxOpen: t.MaxOpen, batch: t.BatchParts,
+	return &loop{start: start, module: module, maxOpen: t.MaxOpen, comeBack: t.MaxRetryAfter, batch: t.BatchParts,
 		in: make(chan any, queueDepth), nodes: map[broker.NodeID]discovery.Node{}, next: 1,
 		searches: map[uint64]*search{}, owners: map[uint64]*search{}, ids: map[string]bool{},
 		ask: func() {}, tell: func(string) {}}
@@ -216,7 +217,7 @@
 		l.events = append(l.events, broker.Event{Kind: broker.PeerSaid, From: uint32(d.from), Text: d.text})
 	case report:
 		t := l.tally
-		t.Store, t.NodeConns = l.pool.Counts, l.pool.Open()
+		t.Store, t.Nodes, t.NodeConns = l.pool.Counts, l.pool.Nodes(), l.pool.Open()
 		d.to <- t
 	}
 }
@@ -231,7 +232,7 @@
 	}
 	if s.crowded || l.places+1+n > l.maxOpen {
 		l.tally.Full++
-		l.conclude(s, verdict{kind: shed})
+		l.conclude(s, verdict{kind: shed, after: l.comeBack}) // the longest that the settings let it say
 		return
 	}
 	l.tally.InHand++
--- a/server/loop_test.go
+++ b/server/loop_test.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -181,8 +182,13 @@
 	}
 	b := binary.LittleEndian.AppendUint32(nil, uint32(1+len(text)))
 	b = append(append(b, 'a'), text...)
-	if rnd.IntN(10) == 0 {
+	switch rnd.IntN(20) {
+	case 0, 1:
 		b = append(b, b...) // says it twice
+	case 2:
+		b = append(b, 0xff, 0xff, 0xff, 0xff, 'a')
+	case 3:
+		b[5] ^= 1 // an id that nobody asked, most likely
 	}
 	time.AfterFunc(after, func() {
 		select {
@@ -340,6 +346,20 @@
 			l.in <- listed{list: &discovery.List{Nodes: []discovery.Node{*node}}}
 		case 2:
 			l.in <- said{1, []byte("nonsense that no peer says")}
+		case 3: // a node is replaced under a new id, which a whole list from elsewhere tells, or the changes
+			i := w.rnd.IntN(len(w.nodes))
+			old := w.nodes[i]
+			old.Entry.State = broker.Gone
+			w.downAt[old.Addr.String()] = l.since()
+			node := &w.nodes[i]
+			node.Name = fmt.Sprint("t-", n)
+			node.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(1 + n), byte(i)}), 80)
+			node.Entry.Node, node.Entry.State, node.Entry.Boot = discovery.ID(node.Name), broker.Ready, l.since()
+			if w.rnd.IntN(2) == 0 {
+				l.in <- listed{list: &discovery.List{Nodes: []discovery.Node{old, *node}}}
+			} else {
+				l.in <- listed{list: &discovery.List{Whole: true, Nodes: slices.Clone(w.nodes)}}
+			}
 		default:
 			w.client(n, w.rnd.IntN(2), w.rnd.IntN(8) == 0)
 		}
@@ -350,6 +370,15 @@
 	if t := l.tally; t.InHand != 0 || l.places != 0 || len(l.owners)+len(l.ids)+len(l.searches) != 0 || t.Answered == 0 {
 		w.t.Errorf("at the end: %+v, %d places, %d parts", t, l.places, len(l.owners))
 	}
+	listing := 0 // what the loop still keeps of nodes
+	for i := range w.nodes {
+		if _, kept := l.nodes[w.nodes[i].Entry.Node]; kept {
+			listing++
+		}
+	}
+	if len(l.nodes) != listing || l.pool.Nodes() > len(w.nodes) {
+		w.t.Errorf("%d nodes kept in the loop, %d in the pool, %d are listed", len(l.nodes), l.pool.Nodes(), listing)
+	}
 	cancel()
 	synctest.Wait()
 }
@@ -365,7 +394,11 @@
 			s := &search{ask: &ask{id: id, parts: make([]askPart, 15+i)}, verdict: make(chan verdict, 1)}
 			l.take(taken{s})
 			if len(s.verdict) > 0 {
-				verdicts = append(verdicts, (<-s.verdict).kind)
+				v := <-s.verdict
+				verdicts = append(verdicts, v.kind)
+				if v.kind == shed && v.after != 2*time.Second {
+					t.Errorf("told to come back after %v", v.after)
+				}
 			}
 		}
 		if len(verdicts) != 2 || verdicts[0] != twice || verdicts[1] != shed || l.tally.Full != 1 || l.tally.InHand != 2 {
--- a/store/store.go
+++ b/store/store.go
@@ -568,5 +568,8 @@
 // Written tells whether a part's last byte has left for its node.
 func (part *Part) Written() bool { return part.written }
 
+// Nodes tells how many nodes are known, those included that only their last parts keep.
+func (p *Pool) Nodes() int { return len(p.nodes) }
+
 // Open tells how many connections there are.
 func (p *Pool) Open() int { return p.conns }
