Connections idle longest are closed before clients run out of theirs

Seen with a line at accept, first byte and answer (probe, not kept): connections that had brought a request stood at exactly 128 of 384 descriptors each second, closed by their clients 1 to 3 s after their answer; the brokers shed nothing. At fault: clients.admit, which knows only its own bound.

--- a/server/client.go
+++ b/server/client.go
@@ -63,6 +63,7 @@
 	mu      sync.Mutex
 	all     map[*client]bool
 	most    int
+	kept    int           // that have brought a request, busy ones included
 	moment  time.Duration // in which a request comes whole, as a rule
 	room    chan struct{} // told when one ends or falls idle
 	closing bool          // idle ones are closed at once
@@ -127,6 +128,25 @@
 	return oldest != nil
 }
 
+// keep ends the connection that idled longest where more than kept have brought a request. Danger: the protocol lets
+// clients hold a third of the descriptors for requests. Where they keep connections that they don't use again, they run
+// out of them while this side still has room, and their next requests never leave. It may hurt many clients that come
+// back seldom, by a new connection each. The caller holds mu.
+func (cs *clients) keep() {
+	n, oldest := 0, (*client)(nil)
+	for c := range cs.all {
+		if !c.used || c.ended != "" {
+			continue
+		}
+		if n++; c.state == idle && (oldest == nil || c.since.Before(oldest.since)) {
+			oldest = c
+		}
+	}
+	if n > cs.kept && oldest != nil {
+		oldest.end("spare")
+	}
+}
+
 // end wakes the connection's reader, which then closes it. The caller holds mu.
 func (c *client) end(reason string) {
 	c.ended = reason
@@ -138,7 +158,10 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	c.state, c.since = to, time.Now()
-	c.used = c.used || to == busy
+	if first := to == busy && !c.used; first {
+		c.used = true
+		cs.keep()
+	}
 	if to == idle {
 		if cs.closing && c.ended == "" {
 			c.ended = "drained"
--- a/server/server.go
+++ b/server/server.go
@@ -31,10 +31,12 @@
 	stopTaking  = (newConnsFor + mustAnswer) / 2
 )
 
-// Of the descriptors some are kept for listeners and the runtime; nodes get a third of the others.
+// Of the descriptors some are kept for listeners and the runtime; nodes get a third of the others. The protocol lets
+// clients hold a third of all for requests; three quarters of these are kept open between requests.
 const (
 	spareSockets = 16
 	nodesPart    = 3
+	requestsPart = 3
 )
 
 // Server is one broker.
@@ -141,6 +143,7 @@
 	s.clients.all, s.clients.room = map[*client]bool{}, make(chan struct{}, 1)
 	s.clients.moment = t.Dial
 	s.clients.most = max(1, l.Sockets-spareSockets-forNodes)
+	s.clients.kept = max(1, l.Sockets/requestsPart*3/4)
 	limits := store.Limits{Streams: t.Streams, Idle: t.Idle, Dial: t.Dial, Silent: s.longest, Conns: forNodes}
 	s.loop.pool = store.NewPool(s.ctx, limits, store.DialTCP, s.loop.since, s.group.Go,
 		func(e store.Event) { s.deliver(e) }, s.loop.subrequestEnded)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -306,6 +306,39 @@
 	}
 }
 
+// Clients that hold a connection for each request they ever made leave room for the next: those that idled longest are
+// closed, well before the third of the descriptors that clients may hold (incident r9fe40b).
+func TestKeptConnections(t *testing.T) {
+	s, _ := live(t, 96)
+	var held []*caller
+	for i := range 80 {
+		c := dial(t, s)
+		if m := c.say(post(fmt.Sprint("a", i), body)); m.Status != 200 || m.Close {
+			t.Fatalf("request %d: %d", i, m.Status)
+		}
+		held = append(held, c)
+		s.clients.mu.Lock()
+		n := 0
+		for c := range s.clients.all {
+			if c.used && c.ended == "" {
+				n++
+			}
+		}
+		s.clients.mu.Unlock()
+		if n > 96/3*3/4 {
+			t.Fatalf("%d kept after request %d", n, i)
+		}
+	}
+	for _, c := range held[:20] {
+		if _, err := c.in.ReadByte(); err != io.EOF {
+			t.Errorf("one of those that idled longest: %v", err)
+		}
+	}
+	if m := held[79].say(post("z", body)); m.Status != 200 {
+		t.Errorf("the last: %d", m.Status)
+	}
+}
+
 // What is logged of useless connections is bounded, and what is left out is counted.
 func TestUselessConnectionsLogLittle(t *testing.T) {
 	var l lines
