--- a/logic/state.go
+++ b/logic/state.go
@@ -556,6 +556,19 @@
 	return int32(len(d.slab) - 1)
 }
 
+// Picture is what the module takes to be so: how many parts are out, and how many listed nodes it shuts out.
+func (l *Logic) Picture() (out, shut int) {
+	for i, n := range l.nodes {
+		for _, c := range l.desk.board[i].calls {
+			out += c.parts
+		}
+		if n.ready && !n.trusted {
+			shut++
+		}
+	}
+	return out, shut
+}
+
 // common is the share of failed parts that half of the listed nodes reach.
 func (l *Logic) common() float64 {
 	l.shares = l.shares[:0]
--- a/server/loop.go
+++ b/server/loop.go
@@ -102,6 +102,7 @@
 	Turns, Subrequests                           uint64
 	ListsTaken, ListsFailed                      uint64
 	Nodes, NodeConns                             int // now
+	Out, OutByModule, ShutOut                    int // parts out, on the wire and as the module counts; nodes it shuts out
 	Store                                        store.Counts
 }
 
@@ -130,6 +131,9 @@
 	tally    Tally
 }
 
+// pictured is a module that tells what it takes to be so, to be held against the wire.
+type pictured interface{ Picture() (out, shut int) }
+
 // call gathers the parts of one turn to one node.
 type call struct {
 	to    broker.NodeID
@@ -217,7 +221,10 @@
 		l.events = append(l.events, broker.Event{Kind: broker.PeerSaid, From: uint32(d.from), Text: d.text})
 	case report:
 		t := l.tally
-		t.Store, t.Nodes, t.NodeConns = l.pool.Counts, l.pool.Nodes(), l.pool.Open()
+		t.Store, t.Nodes, t.NodeConns, t.Out = l.pool.Counts, l.pool.Nodes(), l.pool.Open(), l.pool.Out()
+		if m, tells := l.module.(pictured); tells {
+			t.OutByModule, t.ShutOut = m.Picture()
+		}
 		d.to <- t
 	}
 }
--- a/server/loop_test.go
+++ b/server/loop_test.go
@@ -364,6 +364,9 @@
 			w.client(n, w.rnd.IntN(2), w.rnd.IntN(8) == 0)
 		}
 		synctest.Wait()
+		if out, _ := l.module.(checked).Decider.(pictured).Picture(); out != l.pool.Out() {
+			w.t.Errorf("step %d: the module takes %d parts to be out, %d are", n, out, l.pool.Out())
+		}
 	}
 	time.Sleep(10 * time.Second)
 	synctest.Wait()
--- a/store/store.go
+++ b/store/store.go
@@ -571,5 +571,15 @@
 // Nodes tells how many nodes are known, those included that only their last parts keep.
 func (p *Pool) Nodes() int { return len(p.nodes) }
 
+// Out tells how many parts are out.
+func (p *Pool) Out() (n int) {
+	for _, node := range p.order {
+		for _, c := range node.conns {
+			n += len(c.out)
+		}
+	}
+	return n
+}
+
 // Open tells how many connections there are.
 func (p *Pool) Open() int { return p.conns }
