One log line when parts fail at all nodes alike, and it ends below half the share

The change of mode left no line, and a share about the bound could have turned it on and off each turn. ride picks where nothing rides, which gives the lines.

--- a/cmd/flaxfront/main.go
+++ b/cmd/flaxfront/main.go
@@ -34,7 +34,8 @@
 			Use:   "serve",
 			Short: "Serve until SIGTERM, then answer what was taken and exit",
 			Long: "Serve clients as the configuration says. SIGTERM or SIGINT stops the broker once all it has taken " +
-				"is answered;\nSIGHUP has the configuration read anew; SIGUSR1 logs the counters, which GET /counters returns too.",
+				"is answered;\nSIGHUP has the configuration read anew; SIGUSR1 logs the counters, which GET /counters " +
+				"returns too.",
 			Args: cobra.NoArgs,
 			RunE: func(*cobra.Command, []string) error { return serve(config) },
 		},
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -427,9 +427,6 @@
 			continue
 		}
 		at := d.ride(s, i)
-		if at < 0 {
-			at = d.pick(s, p, true, false)
-		}
 		if p.dead = at < 0; p.dead {
 			continue
 		}
@@ -517,20 +514,20 @@
 	return r.fast > max(q.Quota/float64(l.t.Brokers), overRate*q.Portion*d.total.usual(l.now))
 }
 
-// ride finds the node to which another part of the search, held by the same nodes, goes this turn.
+// ride finds the node to which another part of the search, held by the same nodes, goes this turn, or picks one.
 func (d *desk) ride(s *search, i int) int32 {
 	riders := 1
 	for j := i - 1; j >= 0; j-- {
 		if p := &s.parts[j]; (p.shard-s.parts[i].shard)%d.l.t.Cells == 0 && p.live > 0 {
 			if riders++; riders > d.l.t.BatchParts {
-				return -1
+				break
 			}
 			if at := p.tries[0].node; d.board[at].mode == fit {
 				return at
 			}
 		}
 	}
-	return -1
+	return d.pick(s, &s.parts[i], true, false)
 }
 
 // pick chooses a holder of the part: fewest calls out, ties at random. First sends also go, one at a time, to
@@ -599,7 +596,10 @@
 // then what shares a connection is lost together, and each call gets one of its own.
 func (d *desk) judge() {
 	least := 1.0
-	d.alike = d.l.common() >= shareAll
+	if share := d.l.common(); d.alike != (share >= shareAll || d.alike && share >= shareAll/2) {
+		d.alike = !d.alike
+		d.l.logf("parts fail at all nodes alike %v: %.2f", d.alike, share)
+	}
 	for i := range d.zones {
 		least = min(least, d.doubt(&d.zones[i]))
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"strings"
 	"testing"
 	"testing/quick"
 	"time"
@@ -468,7 +469,7 @@
 // node that fails alone is shut (the churn day, answers lost).
 func TestAnswersLostFromAllNodes(t *testing.T) {
 	for _, alone := range []bool{false, true} {
-		r, rnd, answers, final, shut := newRig(smallTerms(), 12), rand.New(rand.NewSource(1)), 0, 0, 0
+		r, rnd, answers, final, shut, said := newRig(smallTerms(), 12), rand.New(rand.NewSource(1)), 0, 0, 0, 0
 		for i := range 4000 {
 			if i%2 == 0 {
 				r.ask(0, 3*time.Second, 0, 1)
@@ -481,6 +482,9 @@
 			}
 			r.endWhere(broker.OK, 20*ms, nil)
 			for _, a := range r.step(5 * ms) {
+				if a.Kind == broker.Log && strings.Contains(a.Text, "alike") {
+					said++
+				}
 				if i > 800 && a.Kind == broker.Answer {
 					answers++
 				}
@@ -498,6 +502,7 @@
 			}
 		}
 		must(t, r.bad == "" && answers*100 > final*98, "alone %v: %d of %d answered, %s", alone, answers, final, r.bad)
+		must(t, alone && said == 0 || !alone && said == 1, "alone %v: %d changes of mode", alone, said)
 		must(t, alone && shut > 2000 || !alone && shut < 2000, "alone %v: shut for %d steps", alone, shut)
 	}
 }
--- a/server/client.go
+++ b/server/client.go
@@ -158,7 +158,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	c.state, c.since = to, time.Now()
-	if first := to == busy && !c.used; first {
+	if to == busy && !c.used {
 		c.used = true
 		cs.keep()
 	}
