--- a/logic/logic.go
+++ b/logic/logic.go
@@ -133,7 +133,7 @@
 		n.doubt, n.share = n.doubt*(1-doubtStep), n.share*(1-shareStep)
 		n.learn(k.took)
 		n.downed = false
-		if !n.trusted && now-k.took >= n.until-n.backoff { // not by what was out before
+		if !n.trusted {
 			if n.until = now; n.doubt < doubtTrust {
 				n.trusted, n.regained = true, now
 				n.l.spread(factWell, n.id)
