Room for what is claimed by io.CopyN; a move is an ask; one search for the oldest connection

From reading the change again; behaviour as it was. readFrame and httpwire grew buffers by two loops of their own where bytes.Buffer and io.CopyN do the same; discovery.Client kept a second channel beside ask, though a move counts as an ask (the token is taken before the pending move is looked at, so that none is lost between the two); clients.spare and keep searched for the oldest connection each.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -142,7 +142,6 @@
 	known  bool
 	tell   func(*List, error) // delivers to the loop
 	ask    chan struct{}
-	moved  chan struct{}
 	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 	conn   net.Conn
 	in     *bufio.Reader
@@ -154,7 +153,7 @@
 func NewClient(addr string, reader Reader, wait time.Duration, held uint64, known bool,
 	tell func(*List, error)) *Client {
 	return &Client{addr: addr, reader: reader, wait: min(wait, longestWait), held: held, known: known, tell: tell,
-		ask: make(chan struct{}, 1), moved: make(chan struct{}, 1), dial: new(net.Dialer).DialContext}
+		ask: make(chan struct{}, 1), dial: new(net.Dialer).DialContext}
 }
 
 // Move has discovery asked at another address from now on, even where a watch is held; that counts as an ask. The list
@@ -167,10 +166,7 @@
 	if c.interrupt != nil {
 		c.interrupt()
 	}
-	select {
-	case c.moved <- struct{}{}:
-	default:
-	}
+	c.Ask()
 }
 
 // moving tells whether a move waits to be made.
@@ -187,10 +183,6 @@
 	if c.pending != "" {
 		c.hangUp("moved")
 		c.addr, c.pending, c.held, c.known = c.pending, "", 0, false
-		select {
-		case <-c.moved:
-		default: // it has woken Run
-		}
 	}
 	ctx, c.interrupt = context.WithCancel(ctx)
 	return ctx, c.interrupt
@@ -212,22 +204,21 @@
 		case <-ctx.Done():
 			return nil
 		case <-c.ask:
-		case <-c.moved:
 		}
 		for {
 			list, err := c.call(ctx)
 			if ctx.Err() != nil {
 				return nil
 			}
-			if err != nil && c.moving() {
-				continue // it was ended by the move, or asked the wrong one
-			}
 			if err != nil {
-				c.hangUp("call_failed")
 				select {
 				case <-c.ask: // made while this call was out, and answered by it
 				default:
 				}
+				if c.moving() { // looked at last, as a move asks: one made from here on wakes the next round
+					continue // the call was ended by the move, or asked the wrong one
+				}
+				c.hangUp("call_failed")
 			}
 			c.tell(list, err)
 			if err != nil {
--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"slices"
 	"strconv"
 	"strings"
 )
@@ -20,7 +19,6 @@
 	maxLine   = 4 << 10
 	maxFields = 64
 	maxHead   = 16 << 10
-	usualBody = 1 << 10 // room for so much at first
 )
 
 // Fault is a message that can't be used. The connection it came on can't be trusted any more.
@@ -152,7 +150,9 @@
 	case length > MaxBody:
 		return fault(413, "body of %d bytes", length)
 	case length > 0:
-		m.Body, err = appendFrom(nil, r, length)
+		var body bytes.Buffer
+		_, err = io.CopyN(&body, r, int64(length)) // what is claimed is given room only as it comes
+		m.Body = body.Bytes()
 	case length < 0 && response && m.Status != 204 && m.Status != 304: // it ends with the connection
 		m.Close = true
 		if m.Body, err = io.ReadAll(io.LimitReader(r, MaxBody+1)); len(m.Body) > MaxBody {
@@ -162,19 +162,6 @@
 	return err
 }
 
-// appendFrom reads so many bytes more. What is claimed is given room only as it comes.
-func appendFrom(b []byte, r io.Reader, n int) ([]byte, error) {
-	for end := len(b) + n; len(b) < end; {
-		b = slices.Grow(b, min(end-len(b), usualBody))
-		more := b[len(b):min(end, cap(b))]
-		if _, err := io.ReadFull(r, more); err != nil {
-			return nil, err
-		}
-		b = b[:len(b)+len(more)]
-	}
-	return b, nil
-}
-
 func readFields(r *bufio.Reader) (fields []Field, err error) {
 	size := 0
 	for {
@@ -198,7 +185,7 @@
 }
 
 func readChunks(r *bufio.Reader) ([]byte, error) {
-	body := []byte{}
+	body := bytes.NewBuffer([]byte{})
 	for {
 		line, err := readLine(r)
 		if err != nil {
@@ -211,12 +198,12 @@
 		}
 		if n == 0 {
 			_, err := readFields(r)
-			return body, err
+			return body.Bytes(), err
 		}
-		if len(body)+int(n) > MaxBody {
+		if body.Len()+int(n) > MaxBody {
 			return nil, fault(413, "chunks beyond %d bytes", MaxBody)
 		}
-		if body, err = appendFrom(body, r, int(n)); err != nil {
+		if _, err := io.CopyN(body, r, int64(n)); err != nil {
 			return nil, err
 		}
 		if line, err := readLine(r); err != nil {
--- a/server/client.go
+++ b/server/client.go
@@ -114,10 +114,17 @@
 // spare ends the connection that idled longest, or where none idles the one whose request has been coming for
 // longest. A new one, or a request that comes, is given a moment. The caller holds mu.
 func (cs *clients) spare() bool {
+	return cs.endOldest(func(c *client) bool {
+		return c.state == idle && c.used || c.state != busy && time.Since(c.since) > cs.moment
+	})
+}
+
+// endOldest ends, of those that fit, the one that idled longest, or else the one in its state for longest. The caller
+// holds mu.
+func (cs *clients) endOldest(fits func(*client) bool) bool {
 	var oldest *client
 	for c := range cs.all {
-		fits := c.state == idle && c.used || c.state != busy && time.Since(c.since) > cs.moment
-		if fits && c.ended == "" && (oldest == nil || c.state < oldest.state ||
+		if fits(c) && c.ended == "" && (oldest == nil || c.state < oldest.state ||
 			c.state == oldest.state && c.since.Before(oldest.since)) {
 			oldest = c
 		}
@@ -133,17 +140,14 @@
 // out of them while this side still has room, and their next requests never leave. It may hurt many clients that come
 // back seldom, by a new connection each. The caller holds mu.
 func (cs *clients) keep() {
-	n, oldest := 0, (*client)(nil)
+	n := 0
 	for c := range cs.all {
-		if !c.used || c.ended != "" {
-			continue
-		}
-		if n++; c.state == idle && (oldest == nil || c.since.Before(oldest.since)) {
-			oldest = c
+		if c.used && c.ended == "" {
+			n++
 		}
 	}
-	if n > cs.kept && oldest != nil {
-		oldest.end("spare")
+	if n > cs.kept {
+		cs.endOldest(func(c *client) bool { return c.state == idle && c.used })
 	}
 }
 
--- a/store/frame.go
+++ b/store/frame.go
@@ -10,17 +10,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"slices"
 	"strconv"
 	"time"
 	"unicode/utf8"
 )
 
 // maxFrame bounds what a node may send in one frame.
-const (
-	maxFrame   = 64 << 10
-	usualFrame = 1 << 10 // room for so much at first
-)
+const maxFrame = 64 << 10
 
 // End tells how a node says that a part ended.
 type End uint8
@@ -66,18 +62,13 @@
 	if n < 1 || n > maxFrame {
 		return 0, nil, fmt.Errorf("%w: length %d", errFrame, n)
 	}
-	frame := make([]byte, 0, min(n, usualFrame))
-	for len(frame) < int(n) {
-		frame = slices.Grow(frame, 1)
-		more := frame[len(frame):min(int(n), cap(frame))]
-		if _, err := io.ReadFull(r, more); errors.Is(err, io.EOF) {
-			return 0, nil, io.ErrUnexpectedEOF
-		} else if err != nil {
-			return 0, nil, err
-		}
-		frame = frame[:len(frame)+len(more)]
+	var frame bytes.Buffer
+	if _, err := io.CopyN(&frame, r, int64(n)); errors.Is(err, io.EOF) {
+		return 0, nil, io.ErrUnexpectedEOF
+	} else if err != nil {
+		return 0, nil, err
 	}
-	return frame[0], frame[1:], nil
+	return frame.Bytes()[0], frame.Bytes()[1:], nil
 }
 
 // parseAnswer reads what follows the letter of an answer. The load report that ends its line is not used: one that
