--- a/broker/broker.go
+++ b/broker/broker.go
@@ -44,6 +44,7 @@
 	Zone  int
 	State ListState
 	Boot  time.Duration
+	Eased bool // it is not known when it started, nor whether the line is right
 }
 
 // EventKind tells which fields of an Event hold.
@@ -167,6 +168,7 @@
 	ColdFrom     float64
 	WarmAfter    time.Duration
 	FallMultiple float64
+	FallAfter    time.Duration // sent more than that for so long, a cold node falls over
 
 	ExtraFloor  float64
 	ExtraShare  float64
--- a/cmd/flaxfront/main.go
+++ b/cmd/flaxfront/main.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -15,6 +17,7 @@
 
 	"flaxfront/broker"
 	"flaxfront/logic"
+	"flaxfront/operator"
 	"flaxfront/server"
 	"flaxfront/terms"
 )
@@ -26,7 +29,9 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	var config string
+	var config, file string
+	root.PersistentFlags().StringVar(&file, "operator", os.Getenv("FLAXFRONT_OPERATOR"),
+		"the operators' own file (default: what $FLAXFRONT_OPERATOR names; none: nothing beyond the configuration is on)")
 	root.PersistentFlags().StringVar(&config, "config", os.Getenv("RELAY_CONFIG"),
 		"configuration file (default: what $RELAY_CONFIG names)")
 	root.AddCommand(
@@ -37,20 +42,25 @@
 				"is answered;\nSIGHUP has the configuration read anew; SIGUSR1 logs the counters, which GET /counters " +
 				"returns too.",
 			Args: cobra.NoArgs,
-			RunE: func(*cobra.Command, []string) error { return serve(config) },
+			RunE: func(*cobra.Command, []string) error { return serve(config, file) },
 		},
 		&cobra.Command{
 			Use:   "check",
-			Short: "Read the configuration and tell what is wrong with it",
+			Short: "Read the configuration and the operators' file and tell what is wrong with them",
 			Args:  cobra.NoArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error {
-				start, _, err := load(config)
+				start, _, err := load(config, file)
 				if err == nil {
 					fmt.Fprintf(cmd.OutOrStdout(), "%s: good for %s at %s\n", config, start.Name, start.Listen)
 				}
+				if err == nil && file != "" {
+					fmt.Fprintf(cmd.OutOrStdout(), "%s: good\n", file)
+				}
 				return err
 			},
 		},
+		configCommand(&file),
+		nodesCommand(&config, &file),
 		&cobra.Command{
 			Use:   "version",
 			Short: "Tell the version",
@@ -70,26 +80,32 @@
 	}
 }
 
-func load(config string) (*terms.Start, *server.Server, error) {
+var errNoConfig = errors.New("no configuration: give --config or set RELAY_CONFIG")
+
+func load(config, file string) (*terms.Start, *server.Server, error) {
 	if config == "" {
-		return nil, nil, fmt.Errorf("no configuration: give --config or set RELAY_CONFIG")
+		return nil, nil, errNoConfig
 	}
 	start, err := terms.ReadStart(config)
 	if err != nil {
 		return nil, nil, err
 	}
-	s, err := server.New(start, func(t broker.Terms) broker.Decider { return logic.New(t) })
+	own, err := operator.Read(file)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, err := server.New(start, own, func(t broker.Terms) broker.Decider { return logic.New(t) })
 	return start, s, err
 }
 
-func serve(config string) error {
+func serve(config, file string) error {
 	signals, reloads := make(chan os.Signal, 4), make(chan os.Signal, 1) // two SIGHUP that wait are as good as one
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	log := newLogWriter(os.Stderr)
 	defer log.Close()
 	slog.SetDefault(slog.New(slog.NewTextHandler(log, nil)))
-	start, s, err := load(config)
+	start, s, err := load(config, file)
 	if err == nil {
 		err = s.Open()
 	}
@@ -100,7 +116,9 @@
 	debug.SetMemoryLimit(int64(start.Limits.MemoryMB) << 20 / 4 * 3) // from there on the collector works harder
 	go func() {
 		for range reloads {
-			s.Reload(terms.ReadStart(config))
+			next, err := terms.ReadStart(config)
+			own, bad := operator.Read(file)
+			s.Reload(next, own, cmp.Or(err, bad))
 		}
 	}()
 	stop := make(chan struct{})
--- a/cmd/flaxfront/main_test.go
+++ b/cmd/flaxfront/main_test.go
@@ -26,7 +26,7 @@
 	}
 	write(fmt.Sprintf(config, port))
 	done := make(chan error, 1)
-	go func() { done <- serve(file) }()
+	go func() { done <- serve(file, "") }()
 	up := func() {
 		t.Helper()
 		for range 500 {
--- /dev/null
+++ b/decide/trust/book.go
@@ -0,0 +1,297 @@
+// Package trust decides what a node list is worth while discovery can't confirm it: which of its entries are used, which
+// of them are eased in, which are struck out on what evidence, and when discovery is asked again. The book owns what was
+// said of each node, when and by whom; the judge owns what follows from that and from what the nodes have shown; the pacer
+// owns the asking. Nothing here does I/O, reads a clock or starts a goroutine: times come in, facts go out.
+package trust
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Moment is a point in time in milliseconds of Unix time, as it is kept on disk. 0 stands for unknown.
+type Moment int64
+
+// At makes a moment of a time.
+func At(t time.Time) Moment { return Moment(t.UnixMilli()) }
+
+// Since is the time from another moment to this one.
+func (m Moment) Since(o Moment) time.Duration { return time.Duration(m-o) * time.Millisecond }
+
+// Time is the moment as a time.
+func (m Moment) Time() time.Time { return time.UnixMilli(int64(m)) }
+
+// State is what was last said of a node.
+type State uint8
+
+const (
+	Ready State = iota
+	Draining
+	Ended
+)
+
+func (s State) String() string { return [...]string{"ready", "draining", "ended"}[min(s, Ended)] }
+
+// By tells whose word an entry is.
+type By uint8
+
+const (
+	Discovery By = iota
+	Itself       // the node answered a part
+	Given        // the list in the broker's configuration
+	Imported     // an operator
+)
+
+func (b By) String() string {
+	return [...]string{"discovery", "itself", "configuration", "operator"}[min(b, Imported)]
+}
+
+// Entry is what is known of one node.
+type Entry struct {
+	Name       string
+	Addr       netip.AddrPort
+	Zone       string
+	Cell       int
+	State      State
+	Started    Moment // the node's last start; 0: long ago, or unknown
+	Confirmed  Moment // when the entry was last known to be right
+	By         By     // who confirmed it
+	Told       Moment // when its state was told first
+	Generation uint64 // of the list that told it
+}
+
+// same tells whether two entries say the same of a node, whenever they say it.
+func (e *Entry) same(o *Entry) bool {
+	return e.Addr == o.Addr && e.Zone == o.Zone && e.Cell == o.Cell && e.State == o.State && e.Started == o.Started
+}
+
+// Head is what is known of the list as a whole.
+type Head struct {
+	Service    string // the discovery that its generations count from
+	Deployment string // a fingerprint of the settings that it belongs to
+	Generation uint64
+	Confirmed  Moment // when discovery last said that the list is complete
+}
+
+// Book holds the entries.
+type Book struct {
+	Head    Head
+	entries map[string]*Entry
+	changed map[string]bool // since Changes was last called
+	headed  bool
+}
+
+// NewBook makes a book of entries as they were kept.
+func NewBook(head Head, entries []Entry) *Book {
+	b := &Book{Head: head, entries: make(map[string]*Entry, len(entries)), changed: map[string]bool{}}
+	for i := range entries {
+		b.entries[entries[i].Name] = &entries[i]
+	}
+	return b
+}
+
+// Len is how many entries there are, ended ones included.
+func (b *Book) Len() int { return len(b.entries) }
+
+// Get finds an entry.
+func (b *Book) Get(name string) (Entry, bool) {
+	if e := b.entries[name]; e != nil {
+		return *e, true
+	}
+	return Entry{}, false
+}
+
+// All lists the entries by name.
+func (b *Book) All() []Entry {
+	all := make([]Entry, 0, len(b.entries))
+	for _, e := range b.entries {
+		all = append(all, *e)
+	}
+	slices.SortFunc(all, func(x, y Entry) int { return cmp.Compare(x.Name, y.Name) })
+	return all
+}
+
+// List is a whole list or the lines that changed, as discovery tells them.
+type List struct {
+	Service    string
+	Generation uint64
+	Whole      bool
+	Entries    []Entry // Name, Addr, Zone, Cell, State and Started count
+}
+
+// put takes a word on one node; it tells whether the word is news.
+func (b *Book) put(e Entry) bool {
+	old := b.entries[e.Name]
+	news := old == nil || !old.same(&e)
+	if !news {
+		e.Told = old.Told
+	}
+	if old == nil || *old != e {
+		b.entries[e.Name] = &e
+		b.changed[e.Name] = true
+	}
+	return news
+}
+
+// Listed takes discovery's word. It binds: whatever was known before of the nodes named gives way, and a whole list ends
+// the nodes that it does not name. What a watch leaves out is confirmed by that. It returns how many nodes in service a
+// whole list ended, and how many there were, so that a list that lacks most nodes can be warned of.
+func (b *Book) Listed(l List, now Moment) (ended, of int) {
+	named := map[string]bool{}
+	for _, e := range l.Entries {
+		named[e.Name] = true
+		e.Confirmed, e.By, e.Told, e.Generation = now, Discovery, now, l.Generation
+		if e.State == Ended {
+			if old := b.entries[e.Name]; old == nil {
+				continue // of a node that was never known nothing needs to be remembered
+			} else if !e.Addr.IsValid() {
+				e.Addr = old.Addr
+			}
+		}
+		b.put(e)
+	}
+	for name, e := range b.entries {
+		if e.State == Ended {
+			continue
+		}
+		if of++; !named[name] && l.Whole {
+			ended++
+			end := *e
+			end.State, end.Confirmed, end.By, end.Told, end.Generation = Ended, now, Discovery, now, l.Generation
+			b.put(end)
+		} else if !named[name] {
+			e.Confirmed, e.By = now, Discovery // on disk the head says so for all of them
+		}
+	}
+	b.headed = b.headed || b.Head.Generation != l.Generation || b.Head.Service != l.Service ||
+		now.Since(b.Head.Confirmed) >= headEvery
+	b.Head.Service, b.Head.Generation, b.Head.Confirmed = l.Service, l.Generation, now
+	return ended, of
+}
+
+// headEvery is how stale the time of the last confirmation on disk may be, as it alone is worth no faster writing.
+const headEvery = 10 * time.Second
+
+// Merge takes the list of the broker's configuration, which tells no times: entry by entry the later word counts. Where
+// both lists count their generations from the same service, that is the higher generation. Else it is the later start of
+// the node; with the same start a drain or an end stays, as no node comes back from one but by a new start.
+func (b *Book) Merge(given List, now Moment) {
+	comparable := given.Service != "" && given.Service == b.Head.Service
+	named := map[string]bool{}
+	for _, e := range given.Entries {
+		named[e.Name] = true
+		old := b.entries[e.Name]
+		switch {
+		case old == nil && e.State == Ended:
+			continue
+		case old == nil && comparable && given.Generation < b.Head.Generation:
+			continue // the saved list is later and whole: it would name the node
+		case old == nil:
+		case comparable:
+			if given.Generation <= max(old.Generation, b.Head.Generation) {
+				continue
+			}
+		case e.Started < old.Started || e.Started == old.Started && e.State <= old.State:
+			continue
+		}
+		e.By, e.Told, e.Generation, e.Confirmed = Given, now, given.Generation, 0
+		if old != nil && e.Addr == old.Addr && e.Cell == old.Cell {
+			e.Confirmed = old.Confirmed
+		}
+		b.put(e)
+	}
+	if given.Whole && comparable && given.Generation > b.Head.Generation {
+		for name, e := range b.entries {
+			if !named[name] && e.State != Ended {
+				end := *e
+				end.State, end.By, end.Told, end.Generation = Ended, Given, now, given.Generation
+				b.put(end)
+			}
+		}
+	}
+}
+
+// Answered notes that a node answered a part, which confirms its entry as well as discovery could.
+func (b *Book) Answered(name string, now Moment) {
+	if e := b.entries[name]; e != nil && now.Since(e.Confirmed) >= headEvery {
+		e.Confirmed, e.By = now, Itself
+		b.changed[name] = true
+	}
+}
+
+// Import takes entries from an operator, as far as they are later than what is known; it returns how many it took.
+func (b *Book) Import(entries []Entry) (n int) {
+	for _, e := range entries {
+		if old := b.entries[e.Name]; old == nil || e.Told > old.Told && !old.same(&e) {
+			e.By = Imported
+			b.put(e)
+			n++
+		}
+	}
+	return n
+}
+
+// Forget drops entries by name and returns how many there were.
+func (b *Book) Forget(names []string) (n int) {
+	for _, name := range names {
+		if b.entries[name] != nil {
+			delete(b.entries, name)
+			b.changed[name] = true
+			n++
+		}
+	}
+	return n
+}
+
+// Bound drops what is past its time or beyond the most entries: ended nodes first, those told longest ago first.
+func (b *Book) Bound(most int, keepEnded time.Duration, now Moment) (dropped int) {
+	for name, e := range b.entries {
+		if e.State == Ended && now.Since(e.Told) > keepEnded {
+			delete(b.entries, name)
+			b.changed[name] = true
+			dropped++
+		}
+	}
+	over := len(b.entries) - most
+	if over <= 0 {
+		return dropped
+	}
+	all := b.All()
+	slices.SortStableFunc(all, func(x, y Entry) int {
+		if c := cmp.Compare(y.State, x.State); c != 0 {
+			return c
+		}
+		return cmp.Compare(x.Confirmed, y.Confirmed)
+	})
+	for i := range over {
+		delete(b.entries, all[i].Name)
+		b.changed[all[i].Name] = true
+	}
+	return dropped + over
+}
+
+// Changes are what a disk has to be told to hold what the book holds.
+type Changes struct {
+	Head    Head
+	Put     []Entry
+	Removed []string
+}
+
+// Changes gives what changed since the last call; false: nothing that is worth a write.
+func (b *Book) Changes() (c Changes, any bool) {
+	if len(b.changed) == 0 && !b.headed {
+		return c, false
+	}
+	c.Head, b.headed = b.Head, false
+	for name := range b.changed {
+		if e := b.entries[name]; e != nil {
+			c.Put = append(c.Put, *e)
+		} else {
+			c.Removed = append(c.Removed, name)
+		}
+	}
+	clear(b.changed)
+	return c, true
+}
--- /dev/null
+++ b/decide/trust/pace.go
@@ -0,0 +1,68 @@
+package trust
+
+// This file owns when discovery is asked again after it could not be. Two things are told apart: a service that takes no
+// connection, which is knocked at often, as that costs it nothing, and one that takes connections but does not answer in
+// time, which is left alone ever longer, as each call costs it work that others wait for.
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	limitFirst, limitMost = time.Second, 6 * time.Second            // for an answer; the protocol's own limit at most
+	jamFirst, jamMost     = 250 * time.Millisecond, 4 * time.Second // between calls that were not answered
+)
+
+// Pace holds what operators may set.
+type Pace struct {
+	KnockEvery time.Duration
+	PerCall    time.Duration // what a call is taken to cost discovery
+	MostDelay  time.Duration
+	Brokers    int
+}
+
+// Pacer tells when to ask. It is used by one goroutine.
+type Pacer struct {
+	pace  Pace
+	rnd   *rand.Rand
+	limit time.Duration
+	jam   time.Duration
+}
+
+// NewPacer makes a pacer; brokers that start together need different seeds.
+func NewPacer(p Pace, seed uint64) *Pacer {
+	pc := &Pacer{pace: p, rnd: rand.New(rand.NewPCG(seed, 0x70616365))}
+	pc.Answered()
+	return pc
+}
+
+// between draws a time evenly.
+func (p *Pacer) between(from, to time.Duration) time.Duration {
+	return from + time.Duration(p.rnd.Float64()*float64(to-from))
+}
+
+// Knock is how long to wait before the next attempt to connect, after one was refused or did not come up.
+func (p *Pacer) Knock() time.Duration {
+	return p.between(p.pace.KnockEvery/2, p.pace.KnockEvery*3/2)
+}
+
+// Door is how long to wait with the call once a connection is up. Danger: all brokers have knocked for the same moment,
+// and their calls, each for the whole list, would jam the service that has just come back.
+func (p *Pacer) Door() time.Duration {
+	return p.between(0, min(p.pace.MostDelay, time.Duration(p.pace.Brokers)*p.pace.PerCall))
+}
+
+// Limit is how long a call may go unanswered. It is short at first, as a service that accepts and says nothing is found
+// out by that alone, and grows, so that one that is merely slow is heard in the end.
+func (p *Pacer) Limit() time.Duration { return p.limit }
+
+// Jammed takes it that a call was not answered, or refused for want of time, and tells how long to leave discovery alone.
+func (p *Pacer) Jammed() time.Duration {
+	wait := p.between(p.jam/2, p.jam)
+	p.limit, p.jam = min(limitMost, 2*p.limit), min(jamMost, 2*p.jam)
+	return wait
+}
+
+// Answered takes it that discovery has answered.
+func (p *Pacer) Answered() { p.limit, p.jam = limitFirst, jamFirst }
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"flaxfront/broker"
+	"flaxfront/decide/trust"
 	"flaxfront/httpwire"
 )
 
@@ -33,9 +34,11 @@
 
 // Node is one line of the list.
 type Node struct {
-	Name  string
-	Addr  netip.AddrPort
-	Entry broker.Entry
+	Name    string
+	Addr    netip.AddrPort
+	Entry   broker.Entry
+	Zone    string // as discovery names it
+	Started int64  // its last start in Unix time in milliseconds; 0: long ago
 }
 
 // List is a whole list or the lines that changed.
@@ -43,6 +46,7 @@
 	Version uint64
 	Whole   bool
 	Nodes   []Node
+	Service string // the address that told it
 }
 
 // Reader reads lists in discovery's form.
@@ -74,9 +78,9 @@
 	}
 	list := &List{Version: *doc.Generation, Whole: doc.Reset}
 	for i, in := range doc.Instances {
-		n := Node{Name: in.InstanceID}
+		n := Node{Name: in.InstanceID, Zone: in.Zone, Started: in.StartedAt}
 		e := &n.Entry
-		e.Node, e.Cell, e.Zone, e.Boot = ID(in.InstanceID), in.Cell, rd.zone(in.Zone), broker.NoBoot
+		e.Node, e.Cell, e.Zone, e.Boot = ID(in.InstanceID), in.Cell, rd.Zone(in.Zone), broker.NoBoot
 		if in.InstanceID == "" || in.Cell < 0 || in.Cell >= rd.Cells {
 			return nil, fmt.Errorf("node list: instances.%d: %q in cell %d of %d", i, in.InstanceID, in.Cell, rd.Cells)
 		}
@@ -104,8 +108,8 @@
 	return list, nil
 }
 
-// zone numbers a zone by the settings; one that they do not name comes after those.
-func (rd *Reader) zone(name string) int {
+// Zone numbers a zone by the settings; one that they do not name comes after those.
+func (rd *Reader) Zone(name string) int {
 	at := slices.Index(rd.Zones, name)
 	if at < 0 {
 		at = len(rd.Zones)
@@ -147,6 +151,9 @@
 	in     *bufio.Reader
 	calls  int // on this connection
 	buf    []byte
+	pacer  *trust.Pacer // nil: it is asked again only when Ask says so
+	hurry  bool         // discovery has not answered since it failed, or at all: the next call does not wait for news
+	failed bool         // the last call did, and that was told
 }
 
 // NewClient makes a client that holds a version already, or nothing (known false).
@@ -156,6 +163,12 @@
 		ask: make(chan struct{}, 1), dial: new(net.Dialer).DialContext}
 }
 
+// Pace has the client ask again by itself, as a pacer says, whenever discovery could not be asked; the first failure of
+// each outage is told, the others are not. It comes before Run. held is the version to ask for changes from, if known.
+func (c *Client) Pace(p *trust.Pacer, held uint64, known bool) {
+	c.pacer, c.hurry, c.held, c.known = p, true, held, known
+}
+
 // Move has discovery asked at another address from now on, even where a watch is held; that counts as an ask. The list
 // held stands until the new one has spoken. The new one may count its versions from anywhere, so that it is asked for
 // the whole list first.
@@ -220,10 +233,19 @@
 				}
 				c.hangUp("call_failed")
 			}
-			c.tell(list, err)
-			if err != nil {
+			if err == nil || !c.failed || c.pacer == nil {
+				c.tell(list, err)
+			}
+			c.failed, c.hurry = err != nil, err != nil
+			if err != nil && c.pacer == nil {
 				break
 			}
+			if err != nil && !c.comeBack(ctx, errors.Is(err, errDial)) {
+				return nil
+			}
+			if err == nil && c.pacer != nil {
+				c.pacer.Answered()
+			}
 		}
 	}
 }
@@ -233,9 +255,16 @@
 	ctx, end := c.begin(ctx)
 	defer end()
 	target, limit := path, toldAfter
+	wait := c.wait
+	if c.hurry && c.pacer != nil {
+		wait = 0
+	}
 	if c.known {
-		target = fmt.Sprintf("%s?index=%d&wait=%d", path, c.held, c.wait.Milliseconds())
-		limit = c.wait + toldAfterWait
+		target = fmt.Sprintf("%s?index=%d&wait=%d", path, c.held, wait.Milliseconds())
+		limit = wait + toldAfterWait
+	}
+	if c.hurry && c.pacer != nil {
+		limit = c.pacer.Limit()
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -259,16 +288,13 @@
 		return nil, fmt.Errorf("discovery: version %d after %d", list.Version, c.held)
 	}
 	c.held, c.known = list.Version, true
+	list.Service = c.addr
 	return list, nil
 }
 
 func (c *Client) exchange(ctx context.Context, target string) (*httpwire.Message, error) {
-	if c.conn == nil {
-		conn, err := c.dial(ctx, "tcp", c.addr)
-		if err != nil {
-			return nil, err
-		}
-		c.conn, c.in = conn, httpwire.NewReader(conn)
+	if err := c.connect(ctx); err != nil {
+		return nil, err
 	}
 	conn := c.conn
 	c.calls++
@@ -281,6 +307,52 @@
 	return httpwire.ReadResponse(c.in)
 }
 
+var errDial = errors.New("no connection")
+
+func (c *Client) connect(ctx context.Context) error {
+	if c.conn != nil {
+		return nil
+	}
+	conn, err := c.dial(ctx, "tcp", c.addr)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errDial, err)
+	}
+	c.conn, c.in = conn, httpwire.NewReader(conn)
+	return nil
+}
+
+// comeBack waits until discovery is to be called again; where it takes no connection, until it does. A move ends it, and
+// so does ctx: false.
+func (c *Client) comeBack(ctx context.Context, refused bool) bool {
+	outer := ctx
+	ctx, end := c.begin(ctx)
+	defer end()
+	if !refused {
+		sleep(ctx, c.pacer.Jammed())
+		return outer.Err() == nil
+	}
+	for ctx.Err() == nil {
+		sleep(ctx, c.pacer.Knock())
+		knock, cancel := context.WithTimeout(ctx, c.pacer.Limit())
+		err := c.connect(knock)
+		cancel()
+		if err == nil {
+			sleep(ctx, c.pacer.Door())
+			break
+		}
+	}
+	return outer.Err() == nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (c *Client) hangUp(reason string) {
 	if c.conn != nil {
 		c.conn.Close()
--- a/logic/actors.go
+++ b/logic/actors.go
@@ -32,6 +32,7 @@
 	share   float64
 	slow    float64
 	downed  bool
+	eased   time.Duration // standing: since when it is eased in; 0: it is not
 	sick    bool          // rumour
 	limp    time.Duration // tick: the latency it is held against
 	gap     time.Duration // tick: usual time between two parts that a node is sent
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,6 +36,7 @@
 	rumourMany, rumourFade      = 1.5, 4 * time.Second       // sick by the word of so many
 	zoneStep, zoneBad, zoneFade = 0.1, 0.5, 20 * time.Second // share of a zone's parts that fails
 	coldSafety, coldSpread      = 0.6, 1.6                   // of the rule's limit; of the usual flow
+	easeStep                    = 0.25                       // calls more for an answer, at FallMultiple 2
 
 	cutStep, cutOn, cutMore, cutQuick = 0.05, 0.3, 4.0, 16 // share that fails; times the fresh; part of p50
 	idleLeast, cutFor                 = 200 * time.Millisecond, 20 * time.Second
@@ -48,6 +49,8 @@
 	rateFast, rateSlow   = 3 * time.Second, 20 * time.Second
 	askFirst, askMost    = 500 * time.Millisecond, 4 * time.Second
 
+	none, later int32 = -1, -2 // no node for a part; none yet
+
 	scouts, wideShare, waryFor = 2, 2.0, 30 * time.Second // ahead; times its parts are all nodes; a tenant's
 )
 
@@ -77,6 +80,9 @@
 	switch k.kind {
 	case listed:
 		n.cell, n.ready = k.entry.Cell, k.entry.State == broker.Ready
+		if n.eased = 0; k.entry.Eased {
+			n.eased = max(1, now)
+		}
 		if b := k.entry.Boot; b > n.boot { // a stale list may name an older start
 			n.boot = b
 			if now-b < n.l.t.WarmAfter {
@@ -208,6 +214,10 @@
 // tell lets the desk know the node's mode.
 func (n *node) tell() {
 	k := note{kind: standing, node: n.at, mode: fit, share: 1, slow: n.slow, downed: n.downed}
+	if n.eased > 0 && n.heard > n.eased && n.l.now-n.eased >= n.l.t.WarmAfter {
+		n.eased = 0 // it answers, and whenever it started, it is warm by now
+	}
+	k.eased = n.eased
 	if t := n.l.t; n.warming {
 		// Danger (rule 4): all brokers at once push a cold node over. Each keeps to a share of what it sends
 		// a like warm node, by a capacity that grows no slower than evenly, so that their sum holds.
@@ -427,7 +437,8 @@
 			continue
 		}
 		at := d.ride(s, i)
-		if p.dead = at < 0; p.dead {
+		if p.dead = at == none; at < 0 {
+			s.held = s.held || at == later
 			continue
 		}
 		d.send(p, at)
@@ -458,10 +469,13 @@
 	for i := range s.parts {
 		p := &s.parts[i]
 		at := d.pick(s, p, true, false)
-		if p.dead = at < 0; p.dead {
+		if p.dead = at == none; p.dead {
 			continue
 		}
-		x := d.wait(at) * scale
+		x := float64(d.p50) * scale
+		if at >= 0 {
+			x = d.wait(at) * scale
+		}
 		worst = max(worst, x)
 		if p.dead = x > bar; !p.dead {
 			share += p.weight
@@ -514,7 +528,8 @@
 	return r.fast > max(q.Quota/float64(l.t.Brokers), overRate*q.Portion*d.total.usual(l.now))
 }
 
-// ride finds the node to which another part of the search, held by the same nodes, goes this turn, or picks one.
+// ride finds the node to which another part of the search, held by the same nodes, goes this turn, or
+// picks one.
 func (d *desk) ride(s *search, i int) int32 {
 	riders := 1
 	for j := i - 1; j >= 0; j-- {
@@ -522,7 +537,8 @@
 			if riders++; riders > d.l.t.BatchParts {
 				break
 			}
-			if at := p.tries[0].node; d.board[at].mode == fit {
+			at, now := p.tries[0].node, p.tries[0].at == d.l.now
+			if b := &d.board[at]; b.mode == fit && (b.eased == 0 || now) {
 				return at
 			}
 		}
@@ -531,10 +547,11 @@
 }
 
 // pick chooses a holder of the part: fewest calls out, ties at random. First sends also go, one at a time, to
-// a distrusted node whose trial is due. Where every holder is distrusted, the least busy still gets a little.
+// a distrusted node whose trial is due. Where every holder is distrusted, the least busy still gets a little;
+// where one that is eased in has all it may have for now, the part waits for it while there is time.
 func (d *desk) pick(s *search, p *part, first, again bool) int32 {
-	l, best, least, ties := d.l, int32(-1), 0.0, 0
-	bestShut := int32(-1)
+	l, best, least, ties := d.l, none, 0.0, 0
+	bestShut, full := none, false
 	for _, i := range d.holding(p.shard) {
 		b := &d.board[i]
 		if b.mode == gone || b.share < 1 && !d.mayWarm(b) {
@@ -543,6 +560,10 @@
 		if !again && slices.ContainsFunc(p.tries, func(a attempt) bool { return a.node == i }) {
 			continue
 		}
+		if b.eased > 0 && !d.mayEase(b) {
+			full = true
+			continue
+		}
 		due := b.mode == trial && first && s.typ.Effect == broker.Idempotent
 		if b.mode <= trial && !due {
 			little := len(b.calls) < 2 || l.now-b.last >= darkPace
@@ -571,6 +592,9 @@
 			}
 		}
 	}
+	if best < 0 && p.live == 0 && full && l.now+d.p50 <= s.deadline {
+		return later
+	}
 	if best < 0 && p.live == 0 { // no copy is wasted on a distrusted node
 		return bestShut
 	}
@@ -592,8 +616,8 @@
 
 func (d *desk) doubt(z *zone) float64 { return z.doubt * kept(d.l.now-z.at, zoneFade) }
 
-// judge tells, once a turn, of each zone whether it is shunned, and whether answers break from all nodes alike:
-// then what shares a connection is lost together, and each call gets one of its own.
+// judge tells, once a turn, of each zone whether it is shunned, and whether answers break from all nodes
+// alike: then what shares a connection is lost together, and each call gets one of its own.
 func (d *desk) judge() {
 	least := 1.0
 	if share := d.l.common(); d.alike != (share >= shareAll || d.alike && share >= shareAll/2) {
@@ -627,6 +651,31 @@
 // pace is the time between parts to a cold node that all brokers can keep within one core's share.
 func (d *desk) pace(b *seat) float64 { return float64(d.l.t.Brokers) * float64(d.base) / b.share }
 
+// mayEase tells whether a node that is eased in may be sent another call. Danger: a saved list does not tell
+// who has just started or left; all brokers that come back together would push cold nodes over, and wait in
+// vain at those that are gone. Such a node has one call out; each answer allows a little more, so that what it
+// is sent follows what it does. Where one call from each broker is too much, the first ones are spread.
+func (d *desk) mayEase(b *seat) bool {
+	t := d.l.t
+	share := max(0.01, min(1, coldSafety*t.FallMultiple*t.ColdFrom))
+	spread := float64(t.Brokers)*float64(d.base)/share - float64(t.FallAfter)
+	if b.last <= b.eased && float64(d.l.now-b.eased) < b.lot*spread {
+		return false
+	}
+	return float64(len(b.calls)+1) <= b.window
+}
+
+// widen lets what a node that is eased in may have out follow what it does.
+func (d *desk) widen(b *seat, e *broker.Event) {
+	switch t := d.l.t; {
+	case b.eased == 0:
+	case e.Outcome == broker.OK:
+		b.window += easeStep * max(0, min(1, t.FallMultiple-1))
+	case e.Outcome != broker.Cancelled || e.Took > d.p95:
+		b.window = max(1, b.window/2)
+	}
+}
+
 // chill starts the ration of a node that has just turned cold, at a time of this broker's own.
 func (d *desk) chill(b *seat) {
 	b.ration, b.rationed, b.last = d.l.rand(), d.l.now, d.l.now-time.Duration(d.l.rand()*d.pace(b))
@@ -661,6 +710,11 @@
 		s.scout = false
 		d.launch(s)
 	}
+	if s.held {
+		s.held = false
+		d.launch(s)
+		d.next = min(d.next, l.now+poll)
+	}
 	suspect := s.broke > s.in && !d.alike
 	out := suspect && slices.ContainsFunc(s.parts, func(p part) bool { return p.live > 0 })
 	over := suspect && !out && (s.broke > s.in+1 || s.scout)
@@ -699,8 +753,8 @@
 			}
 		}
 		at := d.pick(s, p, false, false)
-		if at < 0 && p.live == 0 {
-			if at = d.pick(s, p, false, true); at < 0 {
+		if at == none && p.live == 0 {
+			if at = d.pick(s, p, false, true); at == none {
 				p.dead = true
 				continue
 			}
--- a/logic/state.go
+++ b/logic/state.go
@@ -19,6 +19,9 @@
 	ration   float64       // parts a cold node may be sent now
 	rationed time.Duration // when it last grew
 	last     time.Duration
+	eased    time.Duration // since when it is eased in; 0: it is not
+	window   float64       // calls that may be out at an eased node
+	lot      float64       // its place in the time over which brokers spread their first calls
 	talked   time.Duration // when something last passed between here and it
 	calls    []call        // out, oldest first
 }
@@ -66,6 +69,7 @@
 	last     time.Duration
 	got      float64
 	scout    bool // some parts are sent ahead of the others
+	held     bool // some parts wait for a node that is eased in
 	in       int  // parts answered
 	broke    int  // sub-requests that broke their connection
 	parts    []part
@@ -142,6 +146,7 @@
 	if at, known := d.l.byID[e.Node]; known {
 		d.weigh(&d.board[at], e.Outcome, e.Took)
 		d.board[at].talked = d.l.now
+		d.widen(&d.board[at], e)
 		d.unload(&d.board[at], d.l.now-e.Took)
 		d.l.post(&d.l.nodes[at].box, note{kind: ended, outcome: e.Outcome, took: e.Took})
 	}
@@ -250,6 +255,7 @@
 	unheard  time.Duration // how long its calls have waited together since
 	heard    time.Duration
 	renewed  time.Duration // when fresh connections to it were last asked for
+	eased    time.Duration // since when it is eased in; 0: it is not
 	warming  bool
 	since    time.Duration // cold start
 	told     note
@@ -460,6 +466,9 @@
 			*old = slices.DeleteFunc(*old, func(i int32) bool { return i == n.node })
 			d.cells[c%d.l.t.Cells] = append(d.cells[c%d.l.t.Cells], n.node)
 		}
+		if b.eased != n.eased {
+			b.eased, b.window, b.lot = n.eased, 1, d.l.rand()
+		}
 		b.mode, b.share, b.slow, b.downed, b.cell = n.mode, n.share, n.slow, n.downed, n.entry.Cell
 		d.tally(b, 1)
 	case sweep:
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,85 @@
+// Package operator reads the operators' own file: JSON with comments and trailing commas, in which every feature that
+// the platform does not ask for is switched on. It owns the form of the file, its defaults and its ranges. It must never
+// open what the file names, guess at a key that it does not know, or change anything where there is no file.
+package operator
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+// File is what the operators' file says, defaults filled in. The zero value of Start.NodeList.Directory leaves the
+// whole feature off.
+type File struct {
+	Start Start `json:"start" doc:"starting while discovery is down"`
+
+	path string
+	said map[string]bool // the fields that the file names
+}
+
+// Start holds the settings for starting while discovery is down.
+type Start struct {
+	NodeList  NodeList  `json:"node_list" doc:"the node list kept on disk"`
+	Trust     Trust     `json:"trust" doc:"what an entry of an old list is worth"`
+	Discovery Discovery `json:"discovery" doc:"how an unreachable discovery is asked again"`
+}
+
+// NodeList holds the settings of the saved list.
+type NodeList struct {
+	Directory  string        `json:"directory" doc:"where the list is kept; empty: off, with all of start"`
+	MaxEntries int           `json:"max_entries" default:"100000" min:"1" max:"1000000" doc:"entries kept at most"`
+	KeepEnded  time.Duration `json:"keep_ended" default:"720h" min:"1h" max:"8760h" doc:"how long an ended node is remembered"`
+	SaveEvery  time.Duration `json:"save_every" default:"1s" min:"10ms" max:"10m" doc:"least time between two writes"`
+}
+
+// Trust holds the settings for entries that discovery has not confirmed.
+type Trust struct {
+	HalfLife time.Duration `json:"half_life" default:"168h" min:"1m" max:"87600h" doc:"age at which half of all entries are taken for wrong"`
+	Oldest   time.Duration `json:"oldest" default:"720h" min:"1m" max:"87600h" doc:"entries confirmed longer ago are not used"`
+	StrikeAt float64       `json:"strike_at" default:"0.95" min:"0.5" max:"0.9999" doc:"an entry this likely wrong gets nothing"`
+	Parole   time.Duration `json:"parole" default:"30s" min:"1s" max:"1h" doc:"after so long a struck-out entry gets one trial; doubles up to twenty times that"`
+}
+
+// Discovery holds the settings for asking discovery again.
+type Discovery struct {
+	KnockEvery time.Duration `json:"knock_every" default:"200ms" min:"20ms" max:"10s" doc:"mean time between two attempts to connect"`
+	PerCall    time.Duration `json:"per_call" default:"2ms" min:"0s" max:"1s" doc:"a broker's call is delayed at random by up to this times the brokers"`
+	MostDelay  time.Duration `json:"most_delay" default:"500ms" min:"0s" max:"10s" doc:"but by no more than this"`
+	Resume     bool          `json:"resume" doc:"ask for changes since the saved version; only where all versions come of one lasting counter"`
+}
+
+// Listed tells whether the node list is to be kept.
+func (f *File) Listed() bool { return f.Start.NodeList.Directory != "" }
+
+// Default is what is in force without a file.
+func Default() *File {
+	f, err := Decode("", []byte("{}"))
+	if err != nil {
+		panic(err) // a default of this package is out of its own range
+	}
+	return f
+}
+
+// Read reads a file; "" gives the defaults. An error names file, line and field.
+func Read(path string) (*File, error) {
+	if path == "" {
+		return Default(), nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operators' file: %w", err)
+	}
+	return Decode(path, raw)
+}
+
+// Differs names the settings in which another file says something else.
+func (f *File) Differs(o *File) (fields []string) {
+	theirs := o.Settings()
+	for i, mine := range f.Settings() {
+		if mine.Value != theirs[i].Value {
+			fields = append(fields, mine.Field)
+		}
+	}
+	return fields
+}
--- a/server/loop.go
+++ b/server/loop.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"flaxfront/broker"
+	"flaxfront/decide/trust"
 	"flaxfront/discovery"
+	"flaxfront/state/nodelist"
 	"flaxfront/store"
 )
 
@@ -104,6 +106,7 @@
 	Nodes, NodeConns                             int // now
 	Out, OutByModule, ShutOut                    int // parts out, on the wire and as the module counts; nodes it shuts out
 	Store                                        store.Counts
+	Trust                                        *trust.Counts `json:",omitempty"` // where a list is kept
 }
 
 type loop struct {
@@ -129,6 +132,7 @@
 	ended    []*search
 	wake     time.Duration // 0: none
 	tally    Tally
+	saved    *saved // nil: no list is kept
 }
 
 // pictured is a module that tells what it takes to be so, to be held against the wire.
@@ -182,6 +186,9 @@
 func (l *loop) step() (next time.Duration) {
 	now := l.since()
 	next = l.pool.Sweep(now)
+	if l.saved != nil {
+		next = min(next, l.weigh(now))
+	}
 	if l.wake > 0 && l.wake <= now {
 		l.wake = 0
 		l.events = append(l.events, broker.Event{Kind: broker.Woken})
@@ -219,8 +226,14 @@
 		l.list(d.list, d.err)
 	case said:
 		l.events = append(l.events, broker.Event{Kind: broker.PeerSaid, From: uint32(d.from), Text: d.text})
+	case nodelist.Ask:
+		l.asked(d)
 	case report:
 		t := l.tally
+		if l.saved != nil {
+			c := l.saved.judge.Picture(l.since())
+			t.Trust = &c
+		}
 		t.Store, t.Nodes, t.NodeConns, t.Out = l.pool.Counts, l.pool.Nodes(), l.pool.Open(), l.pool.Out()
 		if m, tells := l.module.(pictured); tells {
 			t.OutByModule, t.ShutOut = m.Picture()
@@ -262,11 +275,22 @@
 func (l *loop) list(list *discovery.List, err error) {
 	if err != nil {
 		l.tally.ListsFailed++
+		if l.saved != nil {
+			l.saved.judge.Failed()
+		}
 		slog.Info("list not had", "error", err)
 		l.events = append(l.events, broker.Event{Kind: broker.ListFailed})
 		return
 	}
 	l.tally.ListsTaken++
+	l.relist(list)
+	if l.saved != nil {
+		l.confirm(list)
+	}
+}
+
+// relist takes over a list, or the lines that changed.
+func (l *loop) relist(list *discovery.List) {
 	e := broker.Event{Kind: broker.ListDelta}
 	if list.Whole {
 		e.Kind = broker.ListFull
@@ -428,8 +452,12 @@
 	if s, i := l.part(t.Part); s != nil && how == broker.OK && !s.parts[i].in {
 		s.parts[i].in, s.parts[i].value = true, value
 	}
+	took := max(0, at-t.Sent)
 	l.events = append(l.events, broker.Event{Kind: broker.Ended, ID: t.Part, Attempt: t.Attempt, Outcome: how,
-		Took: max(0, at-t.Sent), Node: t.Node})
+		Took: took, Node: t.Node})
+	if l.saved != nil {
+		l.saved.judge.Showed(t.Node, how, took, l.since())
+	}
 }
 
 // finish takes a search out of hand; it is forgotten once the actions of its last turn are carried out.
--- /dev/null
+++ b/server/saved.go
@@ -0,0 +1,140 @@
+package server
+
+// This file owns what a saved node list adds to a broker: the list that it starts with, and the judge beside the loop that
+// weighs its entries while discovery can't be asked. It must never decide what an entry is worth, or write in the loop.
+
+import (
+	"log/slog"
+	"time"
+
+	"flaxfront/broker"
+	"flaxfront/decide/trust"
+	"flaxfront/discovery"
+	"flaxfront/state/nodelist"
+)
+
+// saved is the loop's part of it.
+type saved struct {
+	book  *trust.Book
+	judge *trust.Judge
+	keep  func(trust.Changes)
+	zone  func(name string) int
+	most  int
+	ended time.Duration // how long an ended node is remembered
+	next  time.Duration // when the book is looked at again for what is to be kept
+	start time.Time
+}
+
+const (
+	keepEvery = time.Second
+	mostOfAll = 2 // a whole list that ends more than one in so many nodes is warned of
+)
+
+// openSaved reads the list on disk and makes of it, and of the one in the configuration, the list to start with.
+func (s *Server) openSaved() {
+	o, t := s.operator.Start, &s.start.Terms
+	began := time.Now()
+	store, content := nodelist.Open(nodelist.Options{Dir: o.NodeList.Directory, Deployment: t.Fingerprint(),
+		Every: o.NodeList.SaveEvery})
+	s.keeper = store
+	book := trust.NewBook(content.Head, content.All())
+	now := trust.At(s.loop.start)
+	if s.known {
+		book.Merge(bookList(s.list, s.asked.String()), now)
+	}
+	book.Bound(o.NodeList.MaxEntries, o.NodeList.KeepEnded, now)
+	judge := trust.NewJudge(trust.Policy{HalfLife: o.Trust.HalfLife, Oldest: o.Trust.Oldest, StrikeAt: o.Trust.StrikeAt,
+		Parole: o.Trust.Parole}, book, now)
+	list := &discovery.List{Whole: true}
+	s.loop.saved = &saved{book: book, judge: judge, keep: store.Put, zone: s.reader.Zone, most: o.NodeList.MaxEntries,
+		ended: o.NodeList.KeepEnded, start: s.loop.start}
+	for _, f := range judge.Begin(discovery.ID) {
+		list.Nodes = append(list.Nodes, s.loop.saved.node(f))
+	}
+	s.list = list
+	pace := trust.NewPacer(trust.Pace{KnockEvery: o.Discovery.KnockEvery, PerCall: o.Discovery.PerCall,
+		MostDelay: o.Discovery.MostDelay, Brokers: t.Module.Brokers}, t.Module.Seed)
+	resume := o.Discovery.Resume && content.Found && content.Head.Service == s.asked.String()
+	s.nodeList.Pace(pace, content.Head.Generation, resume)
+	c := judge.Picture(0)
+	slog.Info("saved node list", "dir", o.NodeList.Directory, "found", content.Found, "entries", book.Len(),
+		"used", c.Doubtful, "barred", c.Barred, "age", c.ListAge.Round(time.Second), "service", content.Head.Service,
+		"generation", content.Head.Generation, "read_in", time.Since(began).Round(time.Millisecond))
+}
+
+// bookList is a list as the book takes it.
+func bookList(list *discovery.List, service string) trust.List {
+	l := trust.List{Service: service, Generation: list.Version, Whole: list.Whole}
+	for i := range list.Nodes {
+		n := &list.Nodes[i]
+		e := trust.Entry{Name: n.Name, Addr: n.Addr, Zone: n.Zone, Cell: n.Entry.Cell, Started: trust.Moment(n.Started)}
+		switch n.Entry.State {
+		case broker.Draining:
+			e.State = trust.Draining
+		case broker.Gone:
+			e.State = trust.Ended
+		}
+		l.Entries = append(l.Entries, e)
+	}
+	return l
+}
+
+// node is a fact as a line of the list. One that is not to be used is told as draining: it gets nothing new.
+func (s *saved) node(f trust.Fact) discovery.Node {
+	e := &f.Entry
+	n := discovery.Node{Name: e.Name, Addr: e.Addr, Zone: e.Zone, Started: int64(e.Started),
+		Entry: broker.Entry{Node: f.ID, Cell: e.Cell, Zone: s.zone(e.Zone), State: broker.Ready, Boot: broker.NoBoot,
+			Eased: f.Eased}}
+	if !f.Use {
+		n.Entry.State = broker.Draining
+	}
+	if e.Started > 0 {
+		n.Entry.Boot = e.Started.Time().Sub(s.start)
+	}
+	return n
+}
+
+// confirm takes discovery's word into the book; the module has it already.
+func (l *loop) confirm(list *discovery.List) {
+	s, now := l.saved, l.since()
+	ended, of := s.judge.Listed(bookList(list, list.Service), discovery.ID, now)
+	if list.Whole && mostOfAll*ended > of {
+		slog.Warn("discovery's whole list lacks most nodes; it is taken as it is", "ended", ended, "of", of,
+			"listed", len(list.Nodes), "service", list.Service, "generation", list.Version)
+	}
+	if n := s.book.Bound(s.most, s.ended, trust.At(s.start.Add(now))); n > 0 {
+		slog.Info("entries dropped from the saved node list", "entries", n)
+	}
+	s.next = now
+}
+
+// weigh asks the judge what follows from what nodes have shown, and tells the module. It returns when to come again.
+func (l *loop) weigh(now time.Duration) time.Duration {
+	s := l.saved
+	facts, next := s.judge.Tick(now)
+	if len(facts) > 0 {
+		list := &discovery.List{}
+		for _, f := range facts {
+			list.Nodes = append(list.Nodes, s.node(f))
+		}
+		l.relist(list)
+	}
+	for _, line := range s.judge.Lines() {
+		slog.Info("saved node list", "verdict", line, "at", now.Round(time.Millisecond))
+	}
+	if now >= s.next {
+		s.next = now + keepEvery
+		if c, any := s.book.Changes(); any {
+			s.keep(c)
+		}
+	}
+	return next
+}
+
+// asked carries out what an operator asked of a broker that runs.
+func (l *loop) asked(a nodelist.Ask) {
+	s := l.saved
+	took, dropped := s.judge.Import(a.Import, discovery.ID, l.since()), s.judge.Forget(a.Forget, discovery.ID)
+	s.next = l.since()
+	slog.Info("saved node list", "asked", "by an operator", "imported", took, "forgotten", dropped)
+}
--- a/server/server.go
+++ b/server/server.go
@@ -18,7 +18,9 @@
 
 	"flaxfront/broker"
 	"flaxfront/discovery"
+	"flaxfront/operator"
 	"flaxfront/peers"
+	"flaxfront/state/nodelist"
 	"flaxfront/store"
 	"flaxfront/terms"
 )
@@ -58,13 +60,15 @@
 	accepted chan struct{}  // closed when no more of them come
 	draining atomic.Bool
 	longest  time.Duration // that any client waits
+	operator *operator.File
+	keeper   *nodelist.Store // nil: no list is kept
 	after    func(time.Duration) <-chan time.Time
 }
 
 // New makes a broker of its configuration; nothing is opened yet.
-func New(start *terms.Start, newModule func(broker.Terms) broker.Decider) (*Server, error) {
+func New(start *terms.Start, file *operator.File, newModule func(broker.Terms) broker.Decider) (*Server, error) {
 	t := &start.Terms
-	s := &Server{start: start, asked: start.Discovery, accepted: make(chan struct{}), after: time.After}
+	s := &Server{start: start, operator: file, asked: start.Discovery, accepted: make(chan struct{}), after: time.After}
 	for i := range t.Module.Types {
 		s.longest = max(s.longest, t.Module.Types[i].Timeout)
 	}
@@ -105,7 +109,7 @@
 // Reload takes over a new configuration while serving, with one log line. It is read and checked whole by then; err is
 // what was wrong with it, and then the old one stays in force. Discovery moves; what would need a restart is named and
 // stays as it was. Calls must not overlap.
-func (s *Server) Reload(start *terms.Start, err error) {
+func (s *Server) Reload(start *terms.Start, file *operator.File, err error) {
 	if err == nil {
 		_, _, err = check(start, discovery.Reader{Zones: start.Terms.Zones, Cells: start.Terms.Module.Cells})
 	}
@@ -113,7 +117,7 @@
 		slog.Error("configuration not taken; the old one stays in force", "error", err)
 		return
 	}
-	fixed := s.start.Differs(start)
+	fixed := append(s.start.Differs(start), s.operator.Differs(file)...)
 	if s.asked != start.Discovery {
 		s.asked = start.Discovery
 		s.nodeList.Move(start.Discovery.String())
@@ -133,6 +137,9 @@
 		}
 		s.loop.tell = s.link.Tell
 	}
+	if s.operator.Listed() {
+		s.openSaved()
+	}
 	return nil
 }
 
@@ -147,7 +154,14 @@
 	limits := store.Limits{Streams: t.Streams, Idle: t.Idle, Dial: t.Dial, Silent: s.longest, Conns: forNodes}
 	s.loop.pool = store.NewPool(s.ctx, limits, store.DialTCP, s.loop.since, s.group.Go,
 		func(e store.Event) { s.deliver(e) }, s.loop.subrequestEnded)
-	s.loop.list(s.list, nil)
+	if s.loop.saved == nil {
+		s.loop.list(s.list, nil)
+	} else {
+		s.loop.relist(s.list)
+		s.group.Go(func() error {
+			return s.keeper.Run(s.ctx, func(a nodelist.Ask) { s.deliver(a) })
+		})
+	}
 	s.group.Go(func() error { return s.loop.run(s.ctx) })
 	s.group.Go(func() error { return s.nodeList.Run(s.ctx) })
 	if s.link != nil {
@@ -204,6 +218,13 @@
 	Searches Tally
 	Clients  struct{ Accepted, Closed, BadRequests, Unwritten uint64 }
 	Peers    struct{ Sent, Heard, Strangers, TooLong, Dropped uint64 }
+	NodeList *ListCounts `json:",omitempty"` // where one is kept
+}
+
+// ListCounts tell of the writing of the node list.
+type ListCounts struct {
+	Saving                           bool // the last write went well
+	Writes, Snapshots, Bytes, Failed uint64
 }
 
 // Counters asks the loop for its figures and adds the others.
@@ -218,6 +239,10 @@
 	cs := &s.clients
 	c.Clients.Accepted, c.Clients.Closed = cs.accepted.Load(), cs.closed.Load()
 	c.Clients.BadRequests, c.Clients.Unwritten = cs.refused.Load(), cs.unwritten.Load()
+	if s.keeper != nil {
+		n := &s.keeper.Counts
+		c.NodeList = &ListCounts{n.Saving.Load(), n.Writes.Load(), n.Snapshots.Load(), n.Bytes.Load(), n.Failed.Load()}
+	}
 	if s.link != nil {
 		p := &s.link.Counts
 		c.Peers.Sent, c.Peers.Heard, c.Peers.Strangers = p.Sent.Load(), p.Heard.Load(), p.Strangers.Load()
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -16,6 +16,7 @@
 	"flaxfront/broker"
 	"flaxfront/httpwire"
 	"flaxfront/logic"
+	"flaxfront/operator"
 	"flaxfront/terms"
 )
 
@@ -83,7 +84,7 @@
 // live runs a broker; end stops it as SIGTERM does and gives what Run returned.
 func live(t *testing.T, sockets int) (s *Server, end func() error) {
 	t.Helper()
-	s, err := New(startAt(t, "127.0.0.1:0", sockets), module)
+	s, err := New(startAt(t, "127.0.0.1:0", sockets), operator.Default(), module)
 	if err == nil {
 		err = s.Open()
 	}
@@ -269,7 +270,7 @@
 		{fmt.Sprintf(head+"Transfer-Encoding: chunked\r\n\r\nffff\r\nx", "x"), 0},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			s, err := New(start, module)
+			s, err := New(start, operator.Default(), module)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -459,7 +460,7 @@
 // What can't work is told before anything listens.
 func TestFaultsAtStart(t *testing.T) {
 	taken := listen(t)
-	s, err := New(startAt(t, taken.Addr().String(), 1024), module)
+	s, err := New(startAt(t, taken.Addr().String(), 1024), operator.Default(), module)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -468,11 +469,11 @@
 	}
 	bad := startAt(t, "127.0.0.1:0", 1024)
 	bad.Known = []byte(`{"generation":1,"instances":[{"instanceId":"s"}]}`)
-	if _, err := New(bad, module); err == nil || !strings.Contains(err.Error(), "known") {
+	if _, err := New(bad, operator.Default(), module); err == nil || !strings.Contains(err.Error(), "known") {
 		t.Errorf("bad list: %v", err)
 	}
 	bad.Known, bad.Terms.Module.Types[0].Fetch = nil, 2
-	if _, err := New(bad, module); err == nil || !strings.Contains(err.Error(), "fetchParts") {
+	if _, err := New(bad, operator.Default(), module); err == nil || !strings.Contains(err.Error(), "fetchParts") {
 		t.Errorf("second step: %v", err)
 	}
 }
@@ -488,12 +489,12 @@
 	next.Limits.Sockets = 1
 	bad := next
 	bad.Known = []byte("{}")
-	s.Reload(&bad, nil)
-	s.Reload(nil, io.ErrUnexpectedEOF)
+	s.Reload(&bad, s.operator, nil)
+	s.Reload(nil, nil, io.ErrUnexpectedEOF)
 	if s.asked != s.start.Discovery {
 		t.Errorf("a bad configuration moved discovery to %v", s.asked)
 	}
-	s.Reload(&next, nil)
+	s.Reload(&next, s.operator, nil)
 	conn, err := asks.Accept()
 	if err != nil {
 		t.Fatal(err)
@@ -504,7 +505,7 @@
 	if got := strings.Join(s.start.Differs(&next), " "); got != "limits" {
 		t.Errorf("only a restart takes over %q", got)
 	}
-	s.Reload(s.start, nil)
+	s.Reload(s.start, s.operator, nil)
 	if m := c.hear(); m.Status != 503 && m.Status != 504 {
 		t.Errorf("the search in hand: %d", m.Status)
 	}
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -8,8 +8,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -31,6 +33,13 @@
 	Me       int           // its number among the peers
 }
 
+// Fingerprint names the deployment that a node list belongs to: its zones, cells and shards.
+func (t *Terms) Fingerprint() string {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%q %d %d %d", slices.Sorted(slices.Values(t.Zones)), t.Module.Cells, t.Module.Width, t.Shards)
+	return fmt.Sprintf("%016x", h.Sum64())
+}
+
 // pairs holds each path with its value or values; the first fault is kept and names its key.
 type pairs struct {
 	m       map[string][]string
@@ -238,6 +247,7 @@
 		ColdFrom:     p.num("safety.coldFrom", false, 1),
 		WarmAfter:    p.span("safety.warmAfterNs", false),
 		FallMultiple: p.num("safety.tipMultiple", false, 1),
+		FallAfter:    p.span("safety.fallNs", false),
 
 		ExtraFloor:  p.num("safety.extraFloor", false, 0),
 		ExtraShare:  p.num("safety.furtherRatio", false, 0),
