Laboratory: starts without discovery in virtual time, three policies side by side

Change: lab/ runs the real module and the real judge against simulated boxes in virtual time; bin/flaxlab starts prints the table.

--- /dev/null
+++ b/cmd/flaxlab/main.go
@@ -0,0 +1,32 @@
+// Command flaxlab is the laboratory's command line. It owns nothing but that; see package lab.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"flaxfront/lab"
+)
+
+func main() {
+	root := &cobra.Command{Use: "flaxlab", Short: "Stand-ins, load and experiments; all servers are simulated",
+		SilenceUsage: true, SilenceErrors: true}
+	var seeds, brokers int
+	var rate float64
+	starts := &cobra.Command{
+		Use:   "starts",
+		Short: "Starts without discovery in virtual time: three policies, lists of four ages, three shares of wrong entries",
+		Args:  cobra.NoArgs,
+		Run:   func(cmd *cobra.Command, _ []string) { lab.Starts(cmd.OutOrStdout(), seeds, brokers, rate) },
+	}
+	starts.Flags().IntVar(&seeds, "seeds", 20, "starts for each line; every second one onto cold boxes")
+	starts.Flags().IntVar(&brokers, "brokers", 3, "brokers that start together")
+	starts.Flags().Float64Var(&rate, "rate", 120, "searches a second over all brokers, for sixteen boxes of two cores")
+	root.AddCommand(starts)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "flaxlab:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/lab/emu.go
@@ -0,0 +1,278 @@
+package lab
+
+// This file owns virtual time: brokers' real decisions (the module and the judge) against boxes, without sockets. The same
+// seed gives the same course. It must never read a clock.
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"flaxfront/broker"
+	"flaxfront/decide/trust"
+	"flaxfront/discovery"
+	"flaxfront/logic"
+)
+
+// moment is something that will happen.
+type moment struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type moments []moment
+
+func (m moments) Len() int { return len(m) }
+func (m moments) Less(i, j int) bool {
+	return m[i].at < m[j].at || m[i].at == m[j].at && m[i].seq < m[j].seq
+}
+func (m moments) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
+func (m *moments) Push(x any)   { *m = append(*m, x.(moment)) }
+func (m *moments) Pop() (last any) {
+	n := len(*m) - 1
+	last, *m = (*m)[n], (*m)[:n]
+	return last
+}
+
+// World is boxes and brokers in virtual time.
+type World struct {
+	now    time.Duration
+	queue  moments
+	seq    int
+	boxes  map[broker.NodeID]*Box
+	rnd    *rand.Rand
+	terms  broker.Terms
+	Tally  Tally
+	Broken []string // rules, as seen from outside the brokers
+}
+
+// Tally is what the clients and the boxes saw.
+type Tally struct {
+	Asked, Answered, Partial, InTarget, Shed, Failed int
+	Parts, Wrong                                     int // that reached, or were sent to, a box; of these one that was no longer right
+	First                                            time.Duration
+}
+
+const (
+	hop        = 300 * time.Microsecond // one way
+	connectOut = 250 * time.Millisecond
+)
+
+func (w *World) at(when time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, moment{max(when, w.now), w.seq, do})
+}
+
+func (w *World) run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		m := heap.Pop(&w.queue).(moment)
+		w.now = m.at
+		m.do()
+	}
+	w.now = until
+}
+
+func (w *World) broke(format string, args ...any) {
+	w.Broken = append(w.Broken, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
+}
+
+// Broker is one emulated broker: the real module, and the real judge where it has one.
+type Broker struct {
+	w        *World
+	module   *logic.Logic
+	judge    *trust.Judge
+	events   []broker.Event
+	turning  bool
+	next     uint64
+	searches map[uint64]*asked
+	parts    map[uint64]*asked
+}
+
+type asked struct {
+	id     uint64
+	begun  time.Duration
+	due    time.Duration
+	target time.Duration
+	need   float64
+	got    float64
+	shares map[uint64]float64
+	tries  map[uint64]uint16
+	over   bool
+	out    map[[2]uint64]func() // cancels, by part and attempt
+}
+
+func (w *World) broker(seed uint64, judge *trust.Judge) *Broker {
+	t := w.terms
+	t.Seed = seed
+	return &Broker{w: w, module: logic.New(t), judge: judge, next: 1, searches: map[uint64]*asked{}, parts: map[uint64]*asked{}}
+}
+
+// tell hands the module an event, in a turn with all that happens at the same moment.
+func (b *Broker) tell(e broker.Event) {
+	b.events = append(b.events, e)
+	if !b.turning {
+		b.turning = true
+		b.w.at(b.w.now, b.turn)
+	}
+}
+
+func (b *Broker) facts(facts []trust.Fact) {
+	if len(facts) == 0 {
+		return
+	}
+	e := broker.Event{Kind: broker.ListDelta}
+	for _, f := range facts {
+		entry := broker.Entry{Node: f.ID, Cell: f.Entry.Cell, State: broker.Ready, Boot: broker.NoBoot, Eased: f.Eased}
+		if !f.Use {
+			entry.State = broker.Draining
+		}
+		e.Entries = append(e.Entries, entry)
+	}
+	b.tell(e)
+}
+
+func (b *Broker) turn() {
+	b.turning = false
+	if b.judge != nil {
+		facts, next := b.judge.Tick(b.w.now)
+		b.facts(facts)
+		if next < time.Hour {
+			b.w.at(next, func() { b.tell(broker.Event{Kind: broker.Woken}) })
+		}
+	}
+	events := b.events
+	b.events = nil
+	b.turning = false
+	for _, a := range b.module.Turn(b.w.now, events, nil) {
+		switch a.Kind {
+		case broker.Send:
+			b.send(a)
+		case broker.Cancel:
+			if s := b.parts[a.ID]; s != nil {
+				if call := s.out[[2]uint64{a.ID, uint64(a.Attempt)}]; call != nil {
+					call()
+				}
+			}
+		case broker.Answer, broker.Shed, broker.Fail:
+			b.end(a)
+		case broker.Wake:
+			b.w.at(a.At, func() { b.tell(broker.Event{Kind: broker.Woken}) })
+		}
+	}
+}
+
+// Ask puts a search to the broker, with one part for each shard.
+func (b *Broker) ask(typ int, shards []int) {
+	w, t := b.w, &b.w.terms.Types[typ]
+	w.Tally.Asked++
+	s := &asked{id: b.next, begun: w.now, due: w.now + t.Timeout, target: t.Target, need: t.Floor,
+		shares: map[uint64]float64{}, tries: map[uint64]uint16{}, out: map[[2]uint64]func(){}}
+	b.next += uint64(len(shards)) + 1
+	b.searches[s.id] = s
+	serial := float32(s.id % (1 << 24))
+	b.tell(broker.Event{Kind: broker.SearchIn, ID: s.id, Serial: serial, Type: typ, Left: t.Timeout, Weight: float64(len(shards))})
+	for i, shard := range shards {
+		id := s.id + 1 + uint64(i)
+		s.shares[id], b.parts[id] = 1/float64(len(shards)), s
+		b.tell(broker.Event{Kind: broker.PartIn, ID: id, Serial: serial, Shard: shard, Weight: s.shares[id]})
+	}
+	w.at(s.due+50*time.Millisecond, func() {
+		if !s.over {
+			w.broke("rule 1: search %d has no answer", s.id)
+		}
+		delete(b.searches, s.id)
+		for id := range s.shares {
+			delete(b.parts, id)
+		}
+	})
+}
+
+func (b *Broker) end(a broker.Action) {
+	s, t := b.searches[a.ID], &b.w.Tally
+	if s == nil || s.over {
+		b.w.broke("rule 1: a second answer to search %d", a.ID)
+		return
+	}
+	s.over = true
+	switch a.Kind {
+	case broker.Shed:
+		t.Shed++
+	case broker.Fail:
+		t.Failed++
+	default:
+		if s.got < s.need-1e-4 || a.Whole && s.got < 1-1e-4 {
+			b.w.broke("rule 5: search %d answered with %.2f, whole %v", s.id, s.got, a.Whole)
+		}
+		t.Answered++
+		if !a.Whole {
+			t.Partial++
+		}
+		if b.w.now-s.begun <= s.target {
+			t.InTarget++
+		}
+		if t.First == 0 {
+			t.First = b.w.now
+		}
+	}
+}
+
+// send carries one part to a box and back. Each attempt ends once.
+func (b *Broker) send(a broker.Action) {
+	w, s, box := b.w, b.parts[a.ID], b.w.boxes[a.Node]
+	if s == nil || s.over {
+		w.broke("rule 1: part %d sent after its search's answer", a.ID)
+		return
+	}
+	begun, attempt, ended := w.now, s.tries[a.ID], false
+	s.tries[a.ID]++
+	key := [2]uint64{a.ID, uint64(attempt)}
+	end := func(how broker.Outcome) {
+		if ended {
+			return
+		}
+		ended = true
+		delete(s.out, key)
+		if how == broker.OK && !s.over && s.shares[a.ID] > 0 {
+			s.got += s.shares[a.ID]
+			s.shares[a.ID] = 0
+		}
+		if b.judge != nil {
+			b.judge.Showed(a.Node, how, w.now-begun, w.now)
+		}
+		b.tell(broker.Event{Kind: broker.Ended, ID: a.ID, Attempt: attempt, Outcome: how, Took: w.now - begun, Node: a.Node})
+	}
+	s.out[key] = func() { end(broker.Cancelled) }
+	w.Tally.Parts++
+	if box.Mode != Serving {
+		w.Tally.Wrong++
+	}
+	switch box.Mode {
+	case Dead:
+		w.at(w.now+2*hop, func() { end(broker.ConnectFailed) })
+	case Vanished:
+		w.at(w.now+connectOut, func() { end(broker.ConnectFailed) })
+	default:
+		w.at(w.now+hop, func() {
+			done, taken := box.Offer(w.now)
+			switch {
+			case box.Fallen:
+				w.broke("rule 4: %s fell over", box.Name)
+				box.Mode, box.Fallen = Hanging, false
+			case box.Mode == Hanging:
+			case !taken:
+				w.at(w.now+hop, func() { end(broker.Refused) })
+			default:
+				w.at(done+hop, func() { end(broker.OK) })
+			}
+		})
+	}
+	w.at(s.due, func() { end(broker.TimedOut) })
+}
+
+// id makes a box's id as brokers make it.
+func id(name string) broker.NodeID { return discovery.ID(name) }
+
+var anyAddr = netip.MustParseAddrPort("127.0.0.1:1")
--- /dev/null
+++ b/lab/starts.go
@@ -0,0 +1,146 @@
+package lab
+
+// This file owns the experiment on starts without discovery: brokers begin together with a list of some age of which some
+// entries are wrong, under three policies.
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"text/tabwriter"
+	"time"
+
+	"flaxfront/broker"
+	"flaxfront/decide/trust"
+)
+
+// Policy is what brokers do with the list that they start with.
+type Policy uint8
+
+const (
+	BelieveAll Policy = iota
+	BelieveNone
+	Weigh
+)
+
+func (p Policy) String() string { return [...]string{"believe all", "believe nothing", "weigh"}[p] }
+
+// Start describes one start.
+type Start struct {
+	Seed    uint64
+	Policy  Policy
+	Age     time.Duration
+	Wrong   float64 // share of the entries
+	Cold    bool    // every box has just started
+	Nodes   int
+	Brokers int
+	Rate    float64       // searches a second over all brokers
+	For     time.Duration // discovery comes back then
+}
+
+var startTerms = broker.Terms{Step: 5 * time.Millisecond, Cells: 4, Width: 1, BatchParts: 4, OverShare: 1,
+	Types: []broker.SearchType{{Target: time.Second, Timeout: 2 * time.Second, Value: 1, Floor: 1, Need: 1},
+		{Target: 2 * time.Second, Timeout: 4 * time.Second, Value: 1, Floor: 0.5, Need: 1}},
+	Cancels: true, SecondCopies: true, MaxRetryAfter: time.Second, MaxAttempts: 4, MaxOpen: 4096,
+	ColdFrom: 0.3, WarmAfter: 12 * time.Second, FallMultiple: 2, FallAfter: 2 * time.Second}
+
+// RunStart plays one start in virtual time; the world stands as at discovery's return.
+func RunStart(s Start) *World {
+	w := &World{boxes: map[broker.NodeID]*Box{}, rnd: rand.New(rand.NewPCG(s.Seed, 0x737461727473)), terms: startTerms}
+	w.terms.Brokers = s.Brokers
+	warm := Warmth{From: 0.3, Over: 12 * time.Second, Multiple: 2, For: 2 * time.Second}
+	now := trust.Moment(1_700_000_000_000)
+	var entries []trust.Entry
+	wrong := w.wrong(s.Nodes, int(s.Wrong*float64(s.Nodes)))
+	for i := range s.Nodes {
+		name := fmt.Sprintf("node-%08x", i)
+		box := NewBox(name, i%w.terms.Cells, 2, 10*time.Millisecond, warm, s.Seed+uint64(i)*7919)
+		if s.Cold {
+			box.Began = 0
+		}
+		w.boxes[id(name)] = box
+		entries = append(entries, trust.Entry{Name: name, Addr: anyAddr, Cell: box.Cell, Confirmed: now - trust.Moment(s.Age.Milliseconds())})
+	}
+	for k, i := range wrong { // gone, left behind, drained or changed hands, hanging
+		w.boxes[id(entries[i].Name)].Mode = []Mode{Dead, Vanished, Draining, Hanging}[k%4]
+	}
+	var brokers []*Broker
+	for range s.Brokers {
+		var judge *trust.Judge
+		list := broker.Event{Kind: broker.ListFull}
+		b := w.broker(w.rnd.Uint64(), nil)
+		switch s.Policy {
+		case Weigh:
+			judge = trust.NewJudge(trust.Policy{HalfLife: 7 * 24 * time.Hour, Oldest: 30 * 24 * time.Hour, StrikeAt: 0.95,
+				Parole: 30 * time.Second}, trust.NewBook(trust.Head{}, append([]trust.Entry(nil), entries...)), now)
+			b.judge = judge
+			b.facts(judge.Begin(id))
+		case BelieveAll:
+			for _, e := range entries {
+				list.Entries = append(list.Entries, broker.Entry{Node: id(e.Name), Cell: e.Cell, State: broker.Ready, Boot: broker.NoBoot})
+			}
+			b.tell(list)
+		default:
+			b.tell(list)
+		}
+		brokers = append(brokers, b)
+	}
+	for at := time.Duration(0); at < s.For; at += time.Duration(w.rnd.ExpFloat64() / s.Rate * float64(time.Second)) {
+		b, typ, shards := brokers[w.rnd.IntN(len(brokers))], w.rnd.IntN(2), w.rnd.Perm(8)[:1+w.rnd.IntN(4)]
+		w.at(at, func() { b.ask(typ, shards) })
+	}
+	w.run(s.For + 5*time.Second)
+	return w
+}
+
+// wrong draws which entries are wrong. Each cell keeps a right one, as no policy could serve what nobody holds.
+func (w *World) wrong(nodes, n int) []int {
+	for {
+		drawn, right := w.rnd.Perm(nodes), map[int]bool{}
+		for _, i := range drawn[n:] {
+			right[i%w.terms.Cells] = true
+		}
+		if len(right) == w.terms.Cells {
+			return drawn[:n]
+		}
+	}
+}
+
+// Starts prints the table: for each age, share of wrong entries and policy the mean of some seeds.
+func Starts(out io.Writer, seeds, brokers int, rate float64) (broken int) {
+	t := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "age\twrong\tpolicy\tfirst answer\tin target\tshed\tfailed\tparts on wrong\tstarts with a rule broken\t")
+	for _, age := range []time.Duration{0, time.Hour, 24 * time.Hour, 7 * 24 * time.Hour} {
+		for _, wrong := range []float64{0, 0.1, 0.5} {
+			for _, p := range []Policy{BelieveAll, BelieveNone, Weigh} {
+				var sum Tally
+				rules, answering := 0, 0
+				for seed := range seeds {
+					w := RunStart(Start{Seed: uint64(seed), Policy: p, Age: age, Wrong: wrong, Cold: seed%2 == 1, Nodes: 16,
+						Brokers: brokers, Rate: rate, For: 10 * time.Second})
+					sum.Asked, sum.InTarget = sum.Asked+w.Tally.Asked, sum.InTarget+w.Tally.InTarget
+					sum.Shed, sum.Failed = sum.Shed+w.Tally.Shed, sum.Failed+w.Tally.Failed
+					sum.Parts, sum.Wrong = sum.Parts+w.Tally.Parts, sum.Wrong+w.Tally.Wrong
+					if w.Tally.First > 0 {
+						answering++
+						sum.First = max(sum.First, w.Tally.First)
+					}
+					if len(w.Broken) > 0 {
+						rules++
+					}
+				}
+				first := "none"
+				if answering == seeds {
+					first = "at most " + sum.First.Round(time.Millisecond).String()
+				}
+				broken += rules
+				share := func(n, of int) float64 { return 100 * float64(n) / float64(max(1, of)) }
+				fmt.Fprintf(t, "%v\t%.0f%%\t%v\t%s\t%.2f%%\t%.2f%%\t%.2f%%\t%.2f%%\t%d of %d\t\n", age, 100*wrong, p, first,
+					share(sum.InTarget, sum.Asked), share(sum.Shed, sum.Asked), share(sum.Failed, sum.Asked),
+					share(sum.Wrong, sum.Parts), rules, seeds)
+			}
+		}
+	}
+	t.Flush()
+	return broken
+}
