--- /dev/null
+++ b/lab/fleet.go
@@ -0,0 +1,87 @@
+package lab
+
+// This file owns a small site on loopback: nodes, discovery and the configuration of a broker before them.
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Fleet is nodes and their discovery.
+type Fleet struct {
+	Nodes     []*Node
+	Discovery *Discovery
+	List      []Instance
+	Cells     int
+	Dir       string // of the configurations
+}
+
+// NewFleet starts nodes over some cells and a discovery that knows them and is down until it is told Up.
+func NewFleet(dir string, nodes, cells int, seed uint64) (*Fleet, error) {
+	f := &Fleet{Discovery: NewDiscovery(40), Cells: cells, Dir: dir}
+	warm := Warmth{From: 0.3, Over: 12 * time.Second, Multiple: 2, For: 2 * time.Second}
+	began := time.Now()
+	for i := range nodes {
+		name := fmt.Sprintf("node-%08x", i)
+		n, err := StartNode("127.0.0.1:0", NewBox(name, i%cells, 2, 5*time.Millisecond, warm, seed+uint64(i)), cells, began)
+		if err != nil {
+			return nil, err
+		}
+		f.Nodes = append(f.Nodes, n)
+		f.List = append(f.List, Instance{name, n.Addr(), []string{"a", "b"}[i%2], i % cells, "in_service", 1, 0})
+	}
+	f.Discovery.Set(f.List)
+	return f, nil
+}
+
+// Settings are the terms of the fleet's deployment.
+func (f *Fleet) Settings() string {
+	return fmt.Sprintf(`{"azs":["a","b"],"balancers":1,
+ "classes":[{"aimNs":1000000000,"deadlineNs":2000000000,"effect":"read_like","name":"find"},
+  {"aimNs":2000000000,"deadlineNs":4000000000,"effect":"read_like","name":"report"},
+  {"aimNs":1000000000,"deadlineNs":2000000000,"effect":"non_idempotent","name":"sign"}],
+ "clients":{"marksRetry":true},"domain":{"cells":%d,"classFloor":[1,0.5,1],"partsACall":4,"slices":%d,"width":1},
+ "permissions":{"cancel":true,"connIdleNs":30000000000,"connectTimeoutNs":250000000,"maxAttempts":4,"maxOpen":4096,
+  "maxRetryAfterNs":2000000000,"multiplex":32,"retryAfter":true,"secondCopies":true},
+ "realms":[{"name":"acme","portion":0.5},{"name":"quiet","portion":0.5}],"registryMode":"ask",
+ "safety":{"askWithinNs":10000000000,"coldFrom":0.3,"drainGraceNs":500000000,"fallNs":2000000000,"tipMultiple":2,
+  "warmAfterNs":12000000000},"stepNs":5000000}`, f.Cells, 2*f.Cells)
+}
+
+// FreeAddr finds a loopback address that nobody listens at.
+func FreeAddr() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// Config writes a broker's configuration file and returns its path; known says whether it holds the list.
+func (f *Fleet) Config(name, listen, discovery string, known bool) (string, error) {
+	c := map[string]any{"name": name, "listen": listen, "discovery": discovery, "seed": "1f",
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"settings": json.RawMessage(f.Settings())}
+	if known {
+		c["known"] = map[string]any{"generation": 41, "reset": true, "instances": f.List}
+	}
+	b, err := json.MarshalIndent(c, "", " ")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(f.Dir, name+".json")
+	return path, os.WriteFile(path, b, 0o600)
+}
+
+// Close ends all stand-ins.
+func (f *Fleet) Close() {
+	f.Discovery.Down()
+	for _, n := range f.Nodes {
+		n.Turn(Dead)
+	}
+}
--- /dev/null
+++ b/lab/live.go
@@ -0,0 +1,306 @@
+package lab
+
+// This file owns the stand-ins on loopback sockets: store nodes that speak the frames of the broker's protocol, and a
+// discovery that can be down, silent, slow, stale or moved.
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Value is what a node makes for a part: whoever knows the part can tell whether a value is honest.
+func Value(part string, shard int) string {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s %d", part, shard)
+	return fmt.Sprintf("%016x", h.Sum64())
+}
+
+// Node is a store node on a socket round a box.
+type Node struct {
+	Cells  int // shards modulo cells are what it holds
+	Parts  atomic.Int64
+	Wrong  atomic.Int64 // parts that it does not hold, or got while it was not serving
+	Last   atomic.Int64 // when the last part came, in Unix nanoseconds
+	mu     sync.Mutex
+	box    *Box
+	began  time.Time
+	ln     net.Listener
+	conns  map[net.Conn]bool
+	ran    map[string]int
+	closed bool
+}
+
+// StartNode listens at an address ("127.0.0.1:0" for any).
+func StartNode(addr string, box *Box, cells int, began time.Time) (*Node, error) {
+	n := &Node{Cells: cells, box: box, began: began, conns: map[net.Conn]bool{}, ran: map[string]int{}}
+	return n, n.listen(addr)
+}
+
+func (n *Node) listen(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.ln, n.closed = ln, false
+	n.mu.Unlock()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			n.mu.Lock()
+			ok := !n.closed
+			if ok {
+				n.conns[conn] = true
+			}
+			n.mu.Unlock()
+			if ok {
+				go n.serve(conn)
+			} else {
+				conn.Close()
+			}
+		}
+	}()
+	return nil
+}
+
+// Addr is where it listens, or did.
+func (n *Node) Addr() string { return n.ln.Addr().String() }
+
+// Turn changes what the node does; Dead closes its sockets, and any other mode opens them again.
+func (n *Node) Turn(m Mode) error {
+	n.mu.Lock()
+	was := n.box.Mode
+	n.box.Mode = m
+	if m == Dead {
+		n.closed = true
+		n.ln.Close()
+		for c := range n.conns {
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+		clear(n.conns)
+	}
+	n.mu.Unlock()
+	if was == Dead && m != Dead {
+		return n.listen(n.Addr())
+	}
+	return nil
+}
+
+// Restart makes the node cold, as if its process had just begun.
+func (n *Node) Restart() {
+	n.mu.Lock()
+	n.box.Began = time.Since(n.began)
+	n.mu.Unlock()
+}
+
+// Fell tells whether it was pushed over.
+func (n *Node) Fell() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.box.Fallen
+}
+
+// Ran tells how often a part ran here.
+func (n *Node) Ran(part string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ran[part]
+}
+
+func (n *Node) serve(conn net.Conn) {
+	var out sync.Mutex
+	defer func() {
+		conn.Close()
+		n.mu.Lock()
+		delete(n.conns, conn)
+		n.mu.Unlock()
+	}()
+	in := bufio.NewReader(conn)
+	for {
+		var head [4]byte
+		if _, err := io.ReadFull(in, head[:]); err != nil {
+			return
+		}
+		size := binary.LittleEndian.Uint32(head[:])
+		if size < 1 || size > 1<<20 {
+			return
+		}
+		frame := make([]byte, size)
+		if _, err := io.ReadFull(in, frame); err != nil {
+			return
+		}
+		for rest := frame[1:]; frame[0] == 'q' && len(rest) > 0; {
+			line, after, _ := bytes.Cut(rest, []byte{'\n'})
+			f := strings.Fields(string(line))
+			if len(f) != 4 {
+				return
+			}
+			shard, _ := strconv.Atoi(f[1])
+			length, err := strconv.Atoi(f[3])
+			if err != nil || length < 0 || length > len(after) {
+				return
+			}
+			rest = after[length:]
+			n.part(conn, &out, f[0], shard)
+		}
+	}
+}
+
+// part lets the box work on a part and answers when it is done.
+func (n *Node) part(conn net.Conn, out *sync.Mutex, id string, shard int) {
+	n.mu.Lock()
+	now := time.Since(n.began)
+	mine := shard%n.Cells == n.box.Cell
+	n.Parts.Add(1)
+	n.Last.Store(time.Now().UnixNano())
+	if !mine || n.box.Mode != Serving {
+		n.Wrong.Add(1)
+	}
+	done, taken := n.box.Offer(now)
+	hangs := n.box.Mode == Hanging || n.box.Fallen
+	if taken = taken && mine; taken {
+		n.ran[id]++
+	}
+	n.mu.Unlock()
+	if hangs {
+		return
+	}
+	answer := "a" + id + " skipped - -\n"
+	if taken {
+		answer = "a" + id + " served 1 -\n" + Value(id, shard)
+	}
+	b := append(binary.LittleEndian.AppendUint32(nil, uint32(len(answer))), answer...)
+	time.AfterFunc(max(0, done-now), func() {
+		out.Lock()
+		defer out.Unlock()
+		conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
+		conn.Write(b)
+	})
+}
+
+// Instance is a line of discovery's list.
+type Instance struct {
+	InstanceID string  `json:"instanceId"`
+	HostPort   string  `json:"hostPort"`
+	Zone       string  `json:"zone"`
+	Cell       int     `json:"cell"`
+	Lifecycle  string  `json:"lifecycle"`
+	Weight     float64 `json:"weight"`
+	StartedAt  int64   `json:"startedAtMs"`
+}
+
+// Discovery is a stand-in for the list service.
+type Discovery struct {
+	Calls  atomic.Int64
+	mu     sync.Mutex
+	addr   string
+	srv    *http.Server
+	list   []Instance
+	gen    uint64
+	news   chan struct{}
+	silent bool
+	delay  time.Duration
+}
+
+// NewDiscovery makes one that is not up yet.
+func NewDiscovery(generation uint64) *Discovery {
+	return &Discovery{gen: generation, news: make(chan struct{})}
+}
+
+// Up listens, at the address it had before if it had one.
+func (d *Discovery) Up(addr string) error {
+	if d.addr != "" {
+		addr = d.addr
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	d.addr = ln.Addr().String()
+	d.srv = &http.Server{Handler: http.HandlerFunc(d.answer), ReadHeaderTimeout: 5 * time.Second}
+	go d.srv.Serve(ln)
+	return nil
+}
+
+// Down refuses connections from now on and ends those there are.
+func (d *Discovery) Down() {
+	if d.srv != nil {
+		d.srv.Close()
+		d.srv = nil
+	}
+}
+
+// Addr is where it listens, or did.
+func (d *Discovery) Addr() string { return d.addr }
+
+// Ail has it accept and say nothing, or answer late.
+func (d *Discovery) Ail(silent bool, delay time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent, d.delay = silent, delay
+}
+
+// Set replaces the list and tells those who watch.
+func (d *Discovery) Set(list []Instance) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.list, d.gen = slices.Clone(list), d.gen+1
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+// answer is one call. Every change is told as the whole list, as the protocol lets it.
+func (d *Discovery) answer(w http.ResponseWriter, r *http.Request) {
+	d.Calls.Add(1)
+	d.mu.Lock()
+	silent, delay := d.silent, d.delay
+	d.mu.Unlock()
+	index, err := strconv.ParseUint(r.URL.Query().Get("index"), 10, 64)
+	watch := err == nil
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	if silent {
+		<-r.Context().Done()
+		return
+	}
+	time.Sleep(delay)
+	d.mu.Lock()
+	if news := d.news; watch && index >= d.gen {
+		d.mu.Unlock()
+		select {
+		case <-news:
+		case <-time.After(time.Duration(min(wait, 60000)) * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+		d.mu.Lock()
+	}
+	list := struct {
+		Generation uint64     `json:"generation"`
+		Reset      bool       `json:"reset"`
+		Instances  []Instance `json:"instances"`
+	}{d.gen, !watch || index != d.gen, []Instance{}}
+	if list.Reset {
+		list.Instances = append(list.Instances, d.list...)
+	}
+	d.mu.Unlock()
+	b, _ := json.Marshal(list)
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.Write(b)
+}
--- /dev/null
+++ b/lab/load.go
@@ -0,0 +1,185 @@
+package lab
+
+// This file owns the clients: an open loop of searches on a schedule drawn ahead, each timed from when it was due, and
+// each answer checked against the rules.
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Load is a course of searches.
+type Load struct {
+	URL     string // of the broker, without a path
+	Class   string // of search
+	Tenant  string
+	Shards  int
+	Widest  int // parts of a search at most
+	Rate    float64
+	For     time.Duration
+	Timeout time.Duration
+	Target  time.Duration
+	Floor   float64
+	Seed    uint64
+	Every   time.Duration // between two lines of a report; 0: none
+	Say     io.Writer
+}
+
+// Outcome is what became of a load.
+type Outcome struct {
+	mu                                       sync.Mutex
+	Asked, Answered, Partial, InTarget       int
+	Shed, Failed, Unanswered                 int
+	First                                    time.Duration // of the first answer, from the load's start
+	Broken                                   []string
+	Latency                                  *hdrhistogram.Histogram // microseconds, from when a search was due
+	line                                     *hdrhistogram.Histogram
+	lineAsked, lineAnswered, lineShed, lineX int
+}
+
+// Run plays the load; every search has come to its end when it returns.
+func (l Load) Run() *Outcome {
+	o := &Outcome{Latency: hdrhistogram.New(1, 60_000_000, 3), line: hdrhistogram.New(1, 60_000_000, 3)}
+	rnd := rand.New(rand.NewPCG(l.Seed, 0x6c6f6164))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: l.Timeout + time.Second}
+	defer client.CloseIdleConnections()
+	var all sync.WaitGroup
+	begun, lines := time.Now(), make(chan struct{})
+	if l.Every > 0 {
+		go l.report(o, begun, lines)
+	}
+	for due := time.Duration(0); due < l.For; due += time.Duration(rnd.ExpFloat64() / l.Rate * float64(time.Second)) {
+		shards := rnd.Perm(l.Shards)[:1+rnd.IntN(l.Widest)]
+		search := fmt.Sprintf("%016x", rnd.Uint64())
+		time.Sleep(time.Until(begun.Add(due)))
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			l.one(client, o, begun, begun.Add(due), search, shards)
+		}()
+	}
+	all.Wait()
+	close(lines)
+	return o
+}
+
+func (l Load) one(client *http.Client, o *Outcome, begun, due time.Time, search string, shards []int) {
+	type tablet struct {
+		Tablet   int     `json:"tablet"`
+		Fraction float64 `json:"fraction"`
+	}
+	ask := struct {
+		Tablets   []tablet `json:"tablets"`
+		Statement string   `json:"statement"`
+	}{Statement: search[:8]}
+	for _, s := range shards {
+		ask.Tablets = append(ask.Tablets, tablet{s, 1 / float64(len(shards))})
+	}
+	body, _ := json.Marshal(ask)
+	req, _ := http.NewRequest("POST", l.URL+"/"+l.Class, bytes.NewReader(body))
+	req.Header.Set("X-Request-ID", search)
+	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(l.Timeout.Milliseconds(), 10))
+	if l.Tenant != "" {
+		req.Header.Set("X-Tenant-Id", l.Tenant)
+	}
+	resp, err := client.Do(req)
+	status, text := 0, []byte(nil)
+	if err == nil {
+		status = resp.StatusCode
+		text, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+	}
+	took := time.Since(due)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.Asked, o.lineAsked = o.Asked+1, o.lineAsked+1
+	switch {
+	case err != nil:
+		o.Unanswered, o.lineX = o.Unanswered+1, o.lineX+1
+		o.Broken = append(o.Broken, fmt.Sprintf("rule 1: search %s has no answer: %v", search, err))
+	case status == 429 || status == 503:
+		o.Shed, o.lineShed = o.Shed+1, o.lineShed+1
+	case status != 200:
+		o.Failed, o.lineX = o.Failed+1, o.lineX+1
+	default:
+		o.Answered, o.lineAnswered = o.Answered+1, o.lineAnswered+1
+		o.Latency.RecordValue(max(1, took.Microseconds()))
+		o.line.RecordValue(max(1, took.Microseconds()))
+		if o.First == 0 {
+			o.First = time.Since(begun)
+		}
+		if took <= l.Target {
+			o.InTarget++
+		}
+		if why := l.honest(text, search, shards, o); why != "" {
+			o.Broken = append(o.Broken, fmt.Sprintf("rule 5: search %s: %s", search, why))
+		}
+	}
+}
+
+// honest checks an answer against what nodes make for its parts. The caller holds the lock.
+func (l Load) honest(text []byte, search string, shards []int, o *Outcome) string {
+	var a struct {
+		Full   bool `json:"full"`
+		Pieces []struct {
+			Tablet int    `json:"tablet"`
+			Cell   string `json:"cell"`
+		} `json:"pieces"`
+	}
+	if err := json.Unmarshal(text, &a); err != nil {
+		return err.Error()
+	}
+	in := map[int]bool{}
+	for _, p := range a.Pieces {
+		if in[p.Tablet] || p.Cell != Value(fmt.Sprintf("%s.%d", search, p.Tablet), p.Tablet) {
+			return fmt.Sprintf("shard %d has %q", p.Tablet, p.Cell)
+		}
+		in[p.Tablet] = true
+	}
+	share := float64(len(in)) / float64(len(shards))
+	if !a.Full {
+		o.Partial++
+	}
+	if a.Full && share < 1 || share < l.Floor-1e-4 {
+		return fmt.Sprintf("%.2f of it, full %v", share, a.Full)
+	}
+	return ""
+}
+
+// report writes a line now and then.
+func (l Load) report(o *Outcome, begun time.Time, end <-chan struct{}) {
+	t := time.NewTicker(l.Every)
+	defer t.Stop()
+	for {
+		select {
+		case <-end:
+			return
+		case <-t.C:
+		}
+		o.mu.Lock()
+		fmt.Fprintf(l.Say, "%6.1fs  asked %4d  answered %4d  shed %3d  other %3d  p50 %7.1f ms  p99 %7.1f ms\n",
+			time.Since(begun).Seconds(), o.lineAsked, o.lineAnswered, o.lineShed, o.lineX,
+			float64(o.line.ValueAtQuantile(50))/1000, float64(o.line.ValueAtQuantile(99))/1000)
+		o.line.Reset()
+		o.lineAsked, o.lineAnswered, o.lineShed, o.lineX = 0, 0, 0, 0
+		o.mu.Unlock()
+	}
+}
+
+// String is the outcome in two lines.
+func (o *Outcome) String() string {
+	q := func(p float64) float64 { return float64(o.Latency.ValueAtQuantile(p)) / 1000 }
+	return fmt.Sprintf("asked %d: answered %d (in target %d, partial %d), shed %d, failed %d, without answer %d; rules broken %d\n"+
+		"latency of answers from when they were due: p50 %.1f ms, p90 %.1f, p99 %.1f, p99.9 %.1f; first answer after %v",
+		o.Asked, o.Answered, o.InTarget, o.Partial, o.Shed, o.Failed, o.Unanswered, len(o.Broken), q(50), q(90), q(99), q(99.9),
+		o.First.Round(time.Millisecond))
+}
