Tests of the saved list: crashes at every step, flipped bytes, old lists, drains before a restart

Change: tests, fuzz targets and benchmarks of operator, trust, nodelist, discovery's pacing, easing in and starts on sockets; whole lists are merged in time linear in their length.

--- a/decide/trust/judge.go
+++ b/decide/trust/judge.go
@@ -256,7 +256,9 @@
 	if now-n.shown < apart && n.failed {
 		return
 	}
-	n.odds, n.failed, n.shown = min(n.odds*w, mostOdds), true, now
+	if n.failed, n.shown = true, now; !j.alike { // else it tells of the network
+		n.odds = min(n.odds*w, mostOdds)
+	}
 	j.suspects[n] = true
 	if n.trial {
 		n.trial, n.parole = false, min(2*n.parole, paroleMost*j.policy.Parole)
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -287,6 +287,7 @@
 		if e.Cell = int(e.Node.Addr[3]) % r.t.Cells; rnd.Intn(2) == 0 {
 			e.Boot = r.now - time.Duration(rnd.Intn(2000))*ms
 		}
+		e.Eased = rnd.Intn(3) == 0
 		r.list([]broker.EventKind{broker.ListDelta, broker.ListFull}[rnd.Intn(8)/7], e)
 	}
 	if r.asked > 0 || rnd.Intn(30) == 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -14,6 +14,7 @@
 	zone     int
 	mode     mode
 	share    float64
+	placed   bool          // it is among the nodes of its cell
 	downed   bool          // it could not be reached
 	slow     float64       // how many calls one of its calls counts for
 	ration   float64       // parts a cold node may be sent now
@@ -247,6 +248,7 @@
 	ticked   time.Duration
 	gap      time.Duration // usual time between two parts that a node is sent
 	left     time.Duration // when the list ended it; never: it names it
+	named    *broker.Event // the last list that named it
 	doubt    float64
 	share    float64       // of its parts that fail, over a longer time than doubt
 	failed   time.Duration // when a part last failed
@@ -461,7 +463,8 @@
 			d.weigh(b, broker.TimedOut, 0)
 		}
 		d.tally(b, -1)
-		if c := n.entry.Cell; c != b.cell || !slices.Contains(d.cells[c%d.l.t.Cells], n.node) {
+		if c := n.entry.Cell; c != b.cell || !b.placed {
+			b.placed = true
 			old := &d.cells[b.cell%d.l.t.Cells]
 			*old = slices.DeleteFunc(*old, func(i int32) bool { return i == n.node })
 			d.cells[c%d.l.t.Cells] = append(d.cells[c%d.l.t.Cells], n.node)
@@ -516,6 +519,7 @@
 				l.desk.zones = append(l.desk.zones, zone{})
 			}
 		}
+		l.nodes[at].named = ev
 		if l.nodes[at].left = never; e.State == broker.Gone {
 			l.nodes[at].left = l.now
 		}
@@ -523,12 +527,15 @@
 	}
 	if ev.Kind == broker.ListFull {
 		for _, nd := range l.nodes {
-			if k.knows(nd) && !slices.ContainsFunc(ev.Entries, func(e broker.Entry) bool { return e.Node == nd.id }) {
+			if k.knows(nd) && nd.named != ev {
 				nd.left = min(nd.left, l.now)
 				l.post(&nd.box, note{kind: listed, entry: broker.Entry{Cell: nd.cell, State: broker.Gone, Boot: nd.boot}})
 			}
 		}
 	}
+	for _, nd := range l.nodes {
+		nd.named = nil // the event is the front's
+	}
 }
 
 // knows tells whether a node still has its place.
--- a/operator/decode.go
+++ b/operator/decode.go
@@ -94,6 +94,9 @@
 	if stringly != (literal.Kind() == '"') {
 		return bad("%s is wanted, not %.40s", kind(to), plain)
 	}
+	if to.Kind() == reflect.Bool && literal.Kind() != 't' && literal.Kind() != 'f' {
+		return bad("%s is wanted, not %.40s", kind(to), plain)
+	}
 	if stringly {
 		if err := json.Unmarshal([]byte(plain), &plain); err != nil {
 			return bad("%v", err)
--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,87 @@
+package operator
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// What is wrong is told in one line with file, line and field, and nothing of the file counts.
+func TestBadFiles(t *testing.T) {
+	for text, want := range map[string]string{
+		`{`:                                "f: line 1",
+		"{\n // a comment\n \"stat\": {}}": "f:3: stat: unknown",
+		"{\"start\": {\n\"node_list\": {\"max_entries\": \"many\"}}}":  "f:2: start.node_list.max_entries: a whole number is wanted",
+		"{\"start\": {\"node_list\": {\"max_entries\": 0}}}":           "f:1: start.node_list.max_entries: 0 is out of range, which is 1 to 1000000",
+		"{\"start\": {\"node_list\": {\"max_entries\": 1.5}}}":         "a whole number is wanted",
+		"{\"start\": {\"node_list\": {\"save_every\": 1}}}":            `a time such as "30s" is wanted`,
+		"{\"start\": {\"node_list\": {\"save_every\": \"1\"}}}":        `a time such as "30s" is wanted`,
+		"{\"start\": {\"node_list\": {\"save_every\": \"-1s\"}}}":      "out of range",
+		"{\"start\": {\"trust\": {\"strike_at\": 1e999}}}":             "a number is wanted",
+		"{\"start\": {\"trust\": {\"strike_at\": 0.4}}}":               "out of range",
+		"{\"start\": {\"trust\": [],}}":                                "an object is wanted",
+		"{\"start\": {\"discovery\": {\"resume\": \"yes\"}}}":          "true or false is wanted",
+		"{\"start\": {\"discovery\": {\"resume\": 1}}}":                "true or false is wanted",
+		"{\"start\": {}, \"start\": {}}":                               "start: named twice",
+		"{\"start\": {\"node_list\": {\"directory\": \"a\\u0000b\"}}}": "zero byte",
+		strings.Repeat(" ", maxFile+1):                                 "at most",
+	} {
+		if f, err := Decode("f", []byte(text)); err == nil || !strings.Contains(err.Error(), want) ||
+			strings.Contains(err.Error(), "\n") {
+			t.Errorf("%.80q: %v, %+v", text, err, f)
+		}
+	}
+}
+
+func TestGoodFiles(t *testing.T) {
+	if f := Default(); f.Listed() || f.Start.NodeList.MaxEntries != 100000 || f.Start.Trust.HalfLife != 168*time.Hour {
+		t.Errorf("by default %+v", f.Start)
+	}
+	f, err := Decode("f", []byte(`{"start": {"node_list": {"directory": "/d", /* kept */ "save_every": "5s",},},}`))
+	if err != nil || !f.Listed() || f.Start.NodeList.SaveEvery != 5*time.Second || f.Start.NodeList.MaxEntries != 100000 {
+		t.Fatalf("%v, %+v", err, f)
+	}
+	marked := map[string]bool{}
+	for _, s := range f.Settings() {
+		marked[s.Field] = s.Default
+	}
+	if marked["start.node_list.save_every"] || !marked["start.node_list.max_entries"] {
+		t.Errorf("defaults marked %v", marked)
+	}
+	if d := f.Differs(Default()); len(d) != 2 || d[0] != "start.node_list.directory" {
+		t.Errorf("differs in %v", d)
+	}
+}
+
+// The example names every key, and says the defaults but for the directory.
+func TestExample(t *testing.T) {
+	f, err := Read("../deploy/operator.json5")
+	if err != nil {
+		t.Fatal(err)
+	}
+	theirs := Default().Settings()
+	for i, s := range f.Settings() {
+		if s.Default || s.Value != theirs[i].Value && s.Field != "start.node_list.directory" {
+			t.Errorf("%s: %s in the example, default %s", s.Field, s.Value, theirs[i].Value)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	example, err := os.ReadFile("../deploy/operator.json5")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(example)
+	f.Add([]byte(`{"start": {"trust": {"strike_at": 0.9, "parole": "1m"}}}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		file, err := Decode("f", raw)
+		if err != nil {
+			return
+		}
+		if o := file.Start.Trust; o.StrikeAt < 0.5 || o.StrikeAt > 0.9999 || o.Parole < time.Second {
+			t.Errorf("let through %+v", o)
+		}
+	})
+}
--- a/server/loop.go
+++ b/server/loop.go
@@ -292,6 +292,7 @@
 // relist takes over a list, or the lines that changed.
 func (l *loop) relist(list *discovery.List) {
 	e := broker.Event{Kind: broker.ListDelta}
+	named := map[broker.NodeID]bool{}
 	if list.Whole {
 		e.Kind = broker.ListFull
 	}
@@ -304,6 +305,7 @@
 			continue
 		}
 		e.Entries = append(e.Entries, n.Entry)
+		named[id] = true
 		if n.Entry.State == broker.Gone {
 			delete(l.nodes, id)
 			l.pool.Drop(id)
@@ -317,7 +319,7 @@
 		}
 	}
 	for id, n := range l.nodes {
-		if list.Whole && !slices.ContainsFunc(e.Entries, func(o broker.Entry) bool { return o.Node == id }) {
+		if list.Whole && !named[id] {
 			slog.Info("node unlisted", "node", n.Name, "id", id)
 			delete(l.nodes, id)
 			l.pool.Drop(id)
--- /dev/null
+++ b/server/saved_test.go
@@ -0,0 +1,259 @@
+package server
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"flaxfront/decide/trust"
+	"flaxfront/lab"
+	"flaxfront/operator"
+	"flaxfront/state/nodelist"
+	"flaxfront/store"
+	"flaxfront/terms"
+)
+
+// keeping is a site on loopback whose brokers keep their list.
+type keeping struct {
+	*lab.Fleet
+	t      *testing.T
+	dir    string
+	listen string
+}
+
+func newKeeping(t *testing.T, nodes int) *keeping {
+	f, err := lab.NewFleet(t.TempDir(), nodes, 2, 1)
+	if err == nil {
+		err = f.Discovery.Up("127.0.0.1:0")
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return &keeping{f, t, filepath.Join(f.Dir, "list"), "127.0.0.1:0"}
+}
+
+// start runs a broker; its end is as by SIGTERM.
+func (k *keeping) start(known bool) (s *Server, end func()) {
+	k.t.Helper()
+	path, err := k.Config("n0", k.listen, k.Discovery.Addr(), known)
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	start, err := terms.ReadStart(path)
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	file, err := operator.Decode("f", fmt.Appendf(nil, `{"start": {"node_list": {"directory": %q, "save_every": "10ms"}}}`, k.dir))
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	s, err = New(start, file, module)
+	if err == nil {
+		err = s.Open()
+	}
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	stop, done, ended := make(chan struct{}), make(chan error, 1), false
+	go func() { done <- s.Run(stop) }()
+	end = func() {
+		if !ended {
+			ended = true
+			close(stop)
+			if err := <-done; err != nil {
+				k.t.Error(err)
+			}
+		}
+	}
+	k.t.Cleanup(end)
+	return s, end
+}
+
+func (k *keeping) load(s *Server, last time.Duration) *lab.Outcome {
+	return lab.Load{URL: "http://" + s.listener.Addr().String(), Class: "find", Tenant: "acme", Shards: 4, Widest: 3, Rate: 60,
+		For: last, Timeout: 2 * time.Second, Target: time.Second, Floor: 1, Seed: 5}.Run()
+}
+
+// until waits for something that must come.
+func (k *keeping) until(what string, so func() bool) {
+	k.t.Helper()
+	for range 1000 {
+		if so() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	k.t.Fatal("never: " + what)
+}
+
+// A broker that restarts while discovery is down serves from what it kept. A drain that it was told before binds; what
+// changed meanwhile is found out by what nodes show, and discovery's return ends it.
+func TestStartWithoutDiscovery(t *testing.T) {
+	k := newKeeping(t, 8)
+	k.List[0].Lifecycle = "terminating"
+	k.Discovery.Set(k.List)
+	s, end := k.start(false)
+	k.until("the list is kept", func() bool { return s.Counters().NodeList.Snapshots > 0 && s.Counters().Searches.ListsTaken > 0 })
+	k.Discovery.Down()
+	end()
+	drained := k.Nodes[0].Parts.Load()
+
+	k.Nodes[1].Turn(lab.Dead)
+	k.Nodes[2].Turn(lab.Hanging)
+	k.Nodes[3].Turn(lab.Draining)
+	s, end = k.start(true) // the configuration still lists the drained node as it was
+	o := k.load(s, 1500*time.Millisecond)
+	if len(o.Broken) > 0 || o.Answered < o.Asked*9/10 {
+		t.Errorf("%v, %v", o, o.Broken)
+	}
+	if n := k.Nodes[0].Parts.Load(); n != drained {
+		t.Errorf("%d parts went to a node whose drain was told before the restart", n-drained)
+	}
+	c := s.Counters().Searches.Trust
+	if c.Confirmed < 3 || c.Barred != 1 || c.Confirmed+c.Doubtful+c.StruckOut+c.Barred != 8 {
+		t.Errorf("%+v", c)
+	}
+	k.List[0].Lifecycle, k.List[4].Lifecycle = "in_service", "terminating"
+	k.Discovery.Set(k.List)
+	if err := k.Discovery.Up(""); err != nil {
+		t.Fatal(err)
+	}
+	k.until("the list is taken", func() bool { return s.Counters().Searches.ListsTaken > 0 })
+	after := k.Nodes[4].Parts.Load()
+	if o := k.load(s, 700*time.Millisecond); len(o.Broken) > 0 {
+		t.Error(o.Broken)
+	}
+	if c := s.Counters().Searches.Trust; c.Confirmed != 8 || k.Nodes[4].Parts.Load() != after || k.Nodes[0].Parts.Load() == drained {
+		t.Errorf("%+v; %d and %d parts", c, k.Nodes[4].Parts.Load()-after, k.Nodes[0].Parts.Load()-drained)
+	}
+	// Discovery comes back from its next outage with a list that lacks most nodes: it is taken as the protocol says.
+	k.Discovery.Set(k.List[:1])
+	k.until("the short list is taken", func() bool { return s.Counters().Searches.Nodes <= 4 })
+	end()
+	if c, err := nodelist.Read(nodelist.Disk{}, k.dir, ""); err != nil || !c.Found || len(c.Entries) != 8 {
+		t.Errorf("%v, %+v", err, c)
+	}
+}
+
+// With nothing saved and nothing configured every search is shed at once until discovery speaks, and SIGHUP and SIGTERM
+// are heard meanwhile.
+func TestStartWithNothing(t *testing.T) {
+	k := newKeeping(t, 2)
+	k.Discovery.Down()
+	s, end := k.start(false)
+	if o := k.load(s, 200*time.Millisecond); o.Shed != o.Asked || len(o.Broken) > 0 {
+		t.Errorf("%v, %v", o, o.Broken)
+	}
+	s.Reload(s.start, s.operator, nil)
+	end()
+}
+
+// Operators may drop entries of a broker that runs, and bring others.
+func TestAskedOfARunningBroker(t *testing.T) {
+	k := newKeeping(t, 4)
+	s, end := k.start(false)
+	k.until("the list is kept", func() bool { return s.Counters().NodeList.Snapshots > 0 && s.Counters().Searches.ListsTaken > 0 })
+	k.Discovery.Down()
+	end()
+	s, _ = k.start(false)
+	c, err := nodelist.Read(nodelist.Disk{}, k.dir, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	moved := c.Entries["node-00000001"]
+	moved.Name, moved.Told = "node-new", moved.Told+1
+	ask := nodelist.Ask{Forget: []string{"node-00000001"}, Import: c.All()[:0:0]}
+	ask.Import = append(ask.Import, moved)
+	if err := nodelist.Leave(nodelist.Disk{}, k.dir, c.Head.Deployment, ask, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	k.until("the ask is taken", func() bool {
+		c, _ := nodelist.Read(nodelist.Disk{}, k.dir, "")
+		_, old := c.Entries["node-00000001"]
+		_, fresh := c.Entries["node-new"]
+		return !old && fresh
+	})
+	if o := k.load(s, 300*time.Millisecond); len(o.Broken) > 0 || o.Answered < o.Asked*9/10 {
+		t.Errorf("%v, %v", o, o.Broken)
+	}
+	if c := s.Counters().Searches.Trust; c.Confirmed+c.Doubtful != 4 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Whatever is wrong with the directory, the broker serves.
+func TestServesWhateverTheDisk(t *testing.T) {
+	k := newKeeping(t, 2)
+	for _, c := range []struct {
+		what  string
+		spoil func() error
+	}{
+		{"a file in its place", func() error { return os.WriteFile(k.dir, nil, 0o600) }},
+		{"no list at all", func() error { return os.Remove(k.dir) }},
+		{"a damaged list", func() error {
+			return os.WriteFile(filepath.Join(k.dir, "list-00000001.snap"), []byte(strings.Repeat("x", 1000)), 0o600)
+		}},
+	} {
+		if err := c.spoil(); err != nil {
+			t.Fatal(err)
+		}
+		s, end := k.start(true)
+		if o := k.load(s, 100*time.Millisecond); o.Answered != o.Asked || len(o.Broken) > 0 {
+			t.Errorf("%s: %v, %v", c.what, o, o.Broken)
+		}
+		end()
+	}
+}
+
+// A list of a hundred thousand entries, from the directory to the module's first turn.
+func BenchmarkStartOf100000(b *testing.B) {
+	dir := b.TempDir()
+	f, err := lab.NewFleet(b.TempDir(), 0, 100, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	path, _ := f.Config("n0", "127.0.0.1:0", "127.0.0.1:1", false)
+	start, err := terms.ReadStart(path)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var entries []trust.Entry
+	for i := range 100_000 {
+		entries = append(entries, trust.Entry{Name: fmt.Sprintf("node-%08x", i), Addr: start.Discovery, Zone: "a", Cell: i % 100,
+			Confirmed: trust.At(time.Now())})
+	}
+	kept, _ := nodelist.Open(nodelist.Options{Dir: dir, Deployment: start.Terms.Fingerprint()})
+	kept.Put(trust.Changes{Put: entries})
+	if err := kept.Flush(); err != nil {
+		b.Fatal(err)
+	}
+	kept.Close()
+	file, _ := operator.Decode("f", fmt.Appendf(nil, `{"start": {"node_list": {"directory": %q}}}`, dir))
+	for b.Loop() {
+		s, err := New(start, file, module)
+		if err == nil {
+			err = s.Open()
+		}
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.StopTimer()
+		s.loop.pool = poolOf(s)
+		b.StartTimer()
+		s.loop.relist(s.list)
+		s.loop.turn(s.loop.since())
+		b.StopTimer()
+		s.listener.Close()
+		s.keeper.Close()
+		b.StartTimer()
+	}
+}
+
+func poolOf(s *Server) *store.Pool {
+	return store.NewPool(s.ctx, store.Limits{Conns: 1, Streams: 1}, store.DialTCP, s.loop.since, s.group.Go,
+		func(store.Event) {}, s.loop.subrequestEnded)
+}
--- /dev/null
+++ b/state/nodelist/bench_test.go
@@ -0,0 +1,115 @@
+package nodelist
+
+import (
+	"fmt"
+	"path/filepath"
+	"testing"
+
+	"go.etcd.io/bbolt"
+
+	"flaxfront/decide/trust"
+)
+
+// What it costs to keep one change of a list, in the three ways that the design note compares: the whole list in one file
+// that is replaced, this package's journal, and an embedded store of the registry.
+func BenchmarkKeepOneChange(b *testing.B) {
+	ways := []struct {
+		name string
+		open func(b *testing.B, dir string, first trust.Changes) (keep func(trust.Entry) error)
+	}{
+		{"replaced", func(b *testing.B, dir string, first trust.Changes) func(trust.Entry) error {
+			s, _ := Open(Options{Dir: dir, Deployment: "x"})
+			s.Put(first)
+			return func(e trust.Entry) error {
+				s.drop() // a snapshot each time
+				s.Put(trust.Changes{Put: []trust.Entry{e}})
+				return s.Flush()
+			}
+		}},
+		{"journal", func(b *testing.B, dir string, first trust.Changes) func(trust.Entry) error {
+			s, _ := Open(Options{Dir: dir, Deployment: "x"})
+			s.Put(first)
+			return func(e trust.Entry) error {
+				s.Put(trust.Changes{Put: []trust.Entry{e}})
+				return s.Flush()
+			}
+		}},
+		{"bbolt", func(b *testing.B, dir string, first trust.Changes) func(trust.Entry) error {
+			db, err := bbolt.Open(filepath.Join(dir, "db"), 0o600, nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Cleanup(func() { db.Close() })
+			put := func(all ...trust.Entry) error {
+				return db.Update(func(tx *bbolt.Tx) error {
+					k, err := tx.CreateBucketIfNotExists([]byte("entries"))
+					for i := 0; err == nil && i < len(all); i++ {
+						var v []byte
+						if v, err = encoding.Marshal(diskEntry(all[i])); err == nil {
+							err = k.Put([]byte(all[i].Name), v)
+						}
+					}
+					return err
+				})
+			}
+			if err := put(first.Put...); err != nil {
+				b.Fatal(err)
+			}
+			return func(e trust.Entry) error { return put(e) }
+		}},
+	}
+	for _, n := range []int{16, 1000, 100_000} {
+		for _, way := range ways {
+			b.Run(fmt.Sprintf("%s/%d", way.name, n), func(b *testing.B) {
+				first := many(n)
+				keep := way.open(b, b.TempDir(), first)
+				if err := keep(first.Put[0]); err != nil {
+					b.Fatal(err)
+				}
+				for i := 0; b.Loop(); i++ {
+					e := first.Put[i%n]
+					e.Told = trust.Moment(i)
+					if err := keep(e); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkLoadBbolt(b *testing.B) {
+	db, err := bbolt.Open(filepath.Join(b.TempDir(), "db"), 0o600, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer db.Close()
+	all := many(100_000).Put
+	err = db.Update(func(tx *bbolt.Tx) error {
+		k, err := tx.CreateBucket([]byte("entries"))
+		for i := 0; err == nil && i < len(all); i++ {
+			v, _ := encoding.Marshal(diskEntry(all[i]))
+			err = k.Put([]byte(all[i].Name), v)
+		}
+		return err
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		got := map[string]trust.Entry{}
+		db.View(func(tx *bbolt.Tx) error {
+			return tx.Bucket([]byte("entries")).ForEach(func(k, v []byte) error {
+				var e diskEntry
+				if err := decoding.Unmarshal(v, &e); err != nil {
+					return err
+				}
+				got[e.Name] = trust.Entry(e)
+				return nil
+			})
+		})
+		if len(got) != len(all) {
+			b.Fatal(len(got))
+		}
+	}
+}
--- a/state/nodelist/store.go
+++ b/state/nodelist/store.go
@@ -36,6 +36,7 @@
 	Every      time.Duration // least time between two writes
 	Disk       FS            // nil: that of the machine
 	Unlocked   bool          // no lock is taken: tests on a file system of their own
+	Journal    int           // bytes of a journal before a new snapshot is thought of; 0: 256 KiB
 }
 
 // Counts tell what was written; they may be read from any goroutine.
@@ -77,6 +78,9 @@
 	if s.disk == nil {
 		s.disk = Disk{}
 	}
+	if s.opts.Journal == 0 {
+		s.opts.Journal = logLeast
+	}
 	if err := s.disk.MkdirAll(o.Dir); err != nil {
 		s.say("node list is not kept", err)
 	}
@@ -246,7 +250,7 @@
 }
 
 func (s *Store) write(c change) error {
-	if s.log == nil || s.logged > max(logLeast, logFactor*s.snapped) {
+	if s.log == nil || s.logged > max(s.opts.Journal, logFactor*s.snapped) {
 		return s.snapshot()
 	}
 	frame, err := appendFrame(s.buf[:0], c)
@@ -295,9 +299,6 @@
 	if err := s.disk.Rename(temp, snap); err != nil {
 		return err
 	}
-	if err := s.disk.SyncDir(s.opts.Dir); err != nil {
-		return err
-	}
 	s.gen, s.snapped = gen, len(b)
 	head, err := appendFrame([]byte(magic), opening{Version: version, Deployment: s.opts.Deployment})
 	if err != nil {
