--- a/decide/trust/book.go
+++ b/decide/trust/book.go
@@ -6,8 +6,10 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -105,14 +107,18 @@
 
 // All lists the entries by name.
 func (b *Book) All() []Entry {
-	all := make([]Entry, 0, len(b.entries))
-	for _, e := range b.entries {
-		all = append(all, *e)
+	sorted := b.sorted()
+	all := make([]Entry, len(sorted))
+	for i, e := range sorted {
+		all[i] = *e
 	}
-	slices.SortFunc(all, func(x, y Entry) int { return cmp.Compare(x.Name, y.Name) })
 	return all
 }
 
+func (b *Book) sorted() []*Entry {
+	return slices.SortedFunc(maps.Values(b.entries), func(x, y *Entry) int { return strings.Compare(x.Name, y.Name) })
+}
+
 // List is a whole list or the lines that changed, as discovery tells them.
 type List struct {
 	Service    string
--- a/decide/trust/judge.go
+++ b/decide/trust/judge.go
@@ -144,11 +144,11 @@
 // Begin tells the facts of all entries at the start: those in service that are not too old are used and eased in, as
 // nobody knows when they started; a drain or an end that was told before the start binds after it.
 func (j *Judge) Begin(id func(name string) broker.NodeID) []Fact {
-	for _, e := range j.book.All() {
+	for _, e := range j.book.sorted() {
 		if e.State == Ended {
 			continue
 		}
-		n := &node{id: id(e.Name), name: e.Name, cell: e.Cell, standing: Doubtful, eased: true, odds: 1, age: j.age(&e, 0)}
+		n := &node{id: id(e.Name), name: e.Name, cell: e.Cell, standing: Doubtful, eased: true, odds: 1, age: j.age(e, 0)}
 		if e.State == Draining || n.age > j.policy.Oldest {
 			n.standing, n.eased = Barred, false
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -464,9 +464,10 @@
 		}
 		d.tally(b, -1)
 		if c := n.entry.Cell; c != b.cell || !b.placed {
+			if old := &d.cells[b.cell%d.l.t.Cells]; b.placed {
+				*old = slices.DeleteFunc(*old, func(i int32) bool { return i == n.node })
+			}
 			b.placed = true
-			old := &d.cells[b.cell%d.l.t.Cells]
-			*old = slices.DeleteFunc(*old, func(i int32) bool { return i == n.node })
 			d.cells[c%d.l.t.Cells] = append(d.cells[c%d.l.t.Cells], n.node)
 		}
 		if b.eased != n.eased {
--- a/server/saved.go
+++ b/server/saved.go
@@ -37,7 +37,7 @@
 	store, content := nodelist.Open(nodelist.Options{Dir: o.NodeList.Directory, Deployment: t.Fingerprint(),
 		Every: o.NodeList.SaveEvery})
 	s.keeper = store
-	book := trust.NewBook(content.Head, content.All())
+	book := trust.NewBook(content.Head, content.Values())
 	now := trust.At(s.loop.start)
 	if s.known {
 		book.Merge(bookList(s.list, s.asked.String()), now)
--- a/state/nodelist/nodelist.go
+++ b/state/nodelist/nodelist.go
@@ -50,6 +50,9 @@
 	torn bool // as a crash leaves it; nothing of it is lost that was ever there whole
 }
 
+// Values are the entries in no order.
+func (c *Content) Values() []trust.Entry { return slices.Collect(maps.Values(c.Entries)) }
+
 // All lists the entries by name.
 func (c *Content) All() []trust.Entry {
 	return slices.SortedFunc(maps.Values(c.Entries), func(x, y trust.Entry) int { return cmp.Compare(x.Name, y.Name) })
--- a/state/nodelist/store.go
+++ b/state/nodelist/store.go
@@ -101,7 +101,7 @@
 	}
 	s.head = c.Head
 	s.head.Deployment = o.Deployment
-	maps.Copy(s.entries, c.Entries)
+	s.entries = maps.Clone(c.Entries)
 	return s, c
 }
 
