Gateway: keys, links between sites, and their place in the loop

Change: keys/ (authority, certificates, revocation, TLS 1.3 both ways), link/ (frames, credit, heartbeats, versions), server/gateway.go (what the module sheds is offered to the routes; foreign searches live in the loop like any other). Off without sites in the operators' file.

--- a/decide/routes/model_test.go
+++ b/decide/routes/model_test.go
@@ -37,6 +37,7 @@
 	finals  int
 	ran     int
 	wrong   string
+	risk    bool // so the near side says: it may have run, and must not be shed
 	homeRan bool // one module sends a part that must not run twice once
 	farRan  bool
 	cuts    int
@@ -84,7 +85,7 @@
 		m.fault("rule 1: %s after %s", how, m.final)
 	}
 	m.final = how
-	if how == "shed" && m.effect == broker.NonIdempotent && m.ran > 0 {
+	if how == "shed" && m.effect != broker.Idempotent && m.ran > 0 {
 		m.fault("rule 2: shed, though it has run")
 	}
 	if how == "answered" && m.ran == 0 {
@@ -101,7 +102,7 @@
 		case Cancel:
 			m.outbox = append(m.outbox, msg{"cancel", false})
 		case Home:
-			m.home = true
+			m.home, m.risk = true, a.Risk
 		case Shed:
 			m.end("shed")
 		case Fail:
@@ -245,7 +246,14 @@
 	add("a node runs it at home", m.home && m.ran < 3 && !(once && m.homeRan), func() { m.homeRan = true; m.run() })
 	add("home answers", m.home && m.homeRan, func() { m.home = false; m.end("answered") })
 	add("home fails it", m.home, func() { m.home = false; m.end("failed") })
-	add("home sheds it", m.home && (!m.homeRan || m.effect == broker.Idempotent), func() { m.home = false; m.end("shed") })
+	add("home sheds it", m.home && (!m.homeRan || m.effect == broker.Idempotent), func() {
+		m.home = false
+		if m.risk && m.effect != broker.Idempotent {
+			m.end("failed")
+		} else {
+			m.end("shed")
+		}
+	})
 	add("the client goes", m.begun && m.finals == 0 && !m.left && !m.home, func() {
 		m.left = true
 		m.near.Gone(search)
@@ -266,7 +274,7 @@
 
 func (m *model) String() string {
 	var b strings.Builder
-	fmt.Fprint(&b, m.now, m.epoch, m.conn, m.up, m.outbox, m.toFar, m.toNear, m.farConn, m.deaf, m.farRuns, m.home, m.begun, m.left, m.final,
+	fmt.Fprint(&b, m.now, m.epoch, m.conn, m.up, m.outbox, m.toFar, m.toNear, m.farConn, m.deaf, m.farRuns, m.home, m.risk, m.begun, m.left, m.final,
 		m.ran, m.homeRan, m.farRan, m.cuts, m.kills)
 	if m.verdict != nil {
 		fmt.Fprint(&b, *m.verdict)
--- a/decide/routes/near.go
+++ b/decide/routes/near.go
@@ -63,7 +63,7 @@
 const (
 	Forward Kind = iota + 1 // ID, Peer, Left, Again
 	Cancel                  // ID, Peer: the far side may stop
-	Home                    // ID: serve it here, in the time that is left
+	Home                    // ID, Left, Risk: serve it here, in the time that is left
 	Shed                    // ID: final
 	Fail                    // ID: final
 	Log                     // Text: a change of mode
@@ -76,6 +76,7 @@
 	Peer  Peer
 	Left  time.Duration
 	Again bool // it may have come there before
+	Risk  bool // it may have run: it must not be shed here either, unless it is idempotent
 	Text  string
 }
 
@@ -283,10 +284,16 @@
 // bring serves a search here after all, if there is time; else it ends. harmless: asking it again does no harm, so that it
 // may be shed.
 func (n *Near) bring(t *trip, now time.Duration, harmless bool) {
+	left := t.Due - now
+	if !harmless { // no part of it may leave after its window
+		left = min(left, t.sent+t.Window-now)
+	}
 	switch {
-	case t.Due-now > n.policy.LeastLeft:
+	case left > n.policy.LeastLeft:
 		n.Counts.BroughtHome++
 		n.end(t, Home)
+		home := &n.acts[len(n.acts)-1]
+		home.Left, home.Risk = left, !harmless
 	case harmless && t.Due-now > 0:
 		n.end(t, Shed)
 	default:
--- a/logic/state.go
+++ b/logic/state.go
@@ -586,6 +586,11 @@
 	return out, shut
 }
 
+// Sound tells whether a shard has a holder that is listed and trusted.
+func (l *Logic) Sound(shard int) bool {
+	return slices.ContainsFunc(l.desk.holding(shard), func(i int32) bool { return l.desk.board[i].mode >= cold })
+}
+
 // common is the share of failed parts that half of the listed nodes reach.
 func (l *Logic) common() float64 {
 	l.shares = l.shares[:0]
--- a/operator/decode.go
+++ b/operator/decode.go
@@ -50,9 +50,29 @@
 		line := 1 + bytes.Count(raw[:min(bad.offset, len(raw))], []byte{'\n'})
 		return nil, fmt.Errorf("operators' file: %s:%d: %s: %s", path, line, bad.field, bad.why)
 	}
+	if field, err := f.check(); err != nil {
+		return nil, fmt.Errorf("operators' file: %s:%d: %s: %w", path, d.line(raw, v, field), field, err)
+	}
 	return f, nil
 }
 
+// line finds the line of a field, or of the nearest object round it that the file names.
+func (d *decoder) line(raw []byte, v hujson.Value, field string) int {
+	at := 0
+	for _, key := range strings.Split(field, ".") {
+		object, ok := v.Value.(*hujson.Object)
+		if !ok {
+			break
+		}
+		for _, m := range object.Members {
+			if name, _ := m.Name.Value.(hujson.Literal); name.String() == key {
+				at, v = m.Name.StartOffset, m.Value
+			}
+		}
+	}
+	return 1 + bytes.Count(raw[:at], []byte{'\n'})
+}
+
 // fill sets the defaults.
 func fill(v reflect.Value) error {
 	for i := range v.NumField() {
@@ -85,6 +105,21 @@
 		return d.object(field, object, to)
 	}
 	d.said[field] = true
+	if to.Kind() == reflect.Slice {
+		list, ok := v.Value.(*hujson.Array)
+		if !ok {
+			return bad("a list of texts is wanted, not %.40s", text(v))
+		}
+		to.SetLen(0)
+		for _, item := range list.Elements {
+			one := reflect.New(to.Type().Elem()).Elem()
+			if wrong := d.value(field, item, one, tag); wrong != nil {
+				return wrong
+			}
+			to.Set(reflect.Append(to, one))
+		}
+		return nil
+	}
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok {
 		return bad("%s is wanted, not %.40s", kind(to), text(v))
@@ -231,6 +266,9 @@
 				continue
 			}
 			value := fmt.Sprint(v.Field(i).Interface())
+			if v.Field(i).Kind() == reflect.Slice {
+				value = fmt.Sprintf("%q", v.Field(i).Interface())
+			}
 			if kind := v.Field(i).Kind(); kind == reflect.String || v.Field(i).Type() == reflect.TypeFor[time.Duration]() {
 				value = strconv.Quote(value)
 			}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -25,6 +25,12 @@
 		"{\"start\": {\"discovery\": {\"resume\": 1}}}":                "true or false is wanted",
 		"{\"start\": {}, \"start\": {}}":                               "start: named twice",
 		"{\"start\": {\"node_list\": {\"directory\": \"a\\u0000b\"}}}": "zero byte",
+		"{\"sites\": {\n\"listen\": \"here\"}}":                        "f:2: sites.listen: \"here\" is no",
+		"{\"sites\": {\"keys\": \"k\", \"listen\": \"127.0.0.1:1\"}}":  "sites.allow names no site",
+		"{\"sites\": {\n\n\"targets\": [\"b=127.0.0.1:1\"]}}":          "f:1: sites.keys: missing",
+		"{\"sites\": {\"targets\": [\"b:1\"]}}":                        "is not SITE=ADDRESS:PORT",
+		"{\"sites\": {\"targets\": [1]}}":                              "a text is wanted",
+		"{\"sites\": {\"targets\": \"b\"}}":                            "a list of texts is wanted",
 		strings.Repeat(" ", maxFile+1):                                 "at most",
 	} {
 		if f, err := Decode("f", []byte(text)); err == nil || !strings.Contains(err.Error(), want) ||
@@ -62,7 +68,7 @@
 	}
 	theirs := Default().Settings()
 	for i, s := range f.Settings() {
-		if s.Default || s.Value != theirs[i].Value && s.Field != "start.node_list.directory" {
+		if s.Default || s.Value != theirs[i].Value && !strings.Contains("start.node_list.directory sites.keys sites.listen sites.allow sites.targets", s.Field) {
 			t.Errorf("%s: %s in the example, default %s", s.Field, s.Value, theirs[i].Value)
 		}
 	}
--- a/server/ask.go
+++ b/server/ask.go
@@ -94,7 +94,7 @@
 			return no(400, "body: tablet %d twice", *p.Tablet)
 		}
 		sum += *p.Fraction
-		a.parts = append(a.parts, askPart{a.id + "." + strconv.Itoa(*p.Tablet), *p.Tablet, *p.Fraction})
+		a.parts = append(a.parts, askPart{partName(a.id, *p.Tablet), *p.Tablet, *p.Fraction})
 	}
 	if math.Abs(sum-1) > weightsSumSlip {
 		return no(400, "body: fractions add up to %.3f", sum)
@@ -105,6 +105,9 @@
 	return nil
 }
 
+// partName names a part to nodes.
+func partName(search string, shard int) string { return search + "." + strconv.Itoa(shard) }
+
 // plainID tells whether an id can stand in a frame's line.
 func plainID(id string) bool {
 	for i := range len(id) {
--- a/server/loop.go
+++ b/server/loop.go
@@ -13,6 +13,7 @@
 	"flaxfront/broker"
 	"flaxfront/decide/trust"
 	"flaxfront/discovery"
+	"flaxfront/link"
 	"flaxfront/state/nodelist"
 	"flaxfront/store"
 )
@@ -44,6 +45,14 @@
 	deadline time.Duration // when its client gives up
 	crowded  bool          // its front has no room for it
 	verdict  chan verdict  // holds one; nobody waits to deliver it
+	to       func(verdict) // takes the verdict instead, in the loop
+
+	// where there is a gateway to other sites
+	foreign bool          // it came over a link
+	abroad  bool          // it is forwarded; the module has done with it
+	home    bool          // it was brought back
+	risk    bool          // and may have run abroad
+	after   time.Duration // when the other side wants it back
 
 	id    uint64 // as the module knows it; its parts have the numbers that follow
 	over  bool
@@ -107,6 +116,7 @@
 	Out, OutByModule, ShutOut                    int // parts out, on the wire and as the module counts; nodes it shuts out
 	Store                                        store.Counts
 	Trust                                        *trust.Counts `json:",omitempty"` // where a list is kept
+	Gateway                                      *GatewayState `json:",omitempty"` // where there is one
 }
 
 type loop struct {
@@ -132,7 +142,9 @@
 	ended    []*search
 	wake     time.Duration // 0: none
 	tally    Tally
-	saved    *saved // nil: no list is kept
+	saved    *saved   // nil: no list is kept
+	gate     *gateway // nil: no other site is known
+	types    []broker.SearchType
 }
 
 // pictured is a module that tells what it takes to be so, to be held against the wire.
@@ -145,7 +157,7 @@
 }
 
 func newLoop(start time.Time, module broker.Decider, t *broker.Terms) *loop {
-	return &loop{start: start, module: module, maxOpen: t.MaxOpen, comeBack: t.MaxRetryAfter, batch: t.BatchParts,
+	return &loop{start: start, module: module, types: t.Types, maxOpen: t.MaxOpen, comeBack: t.MaxRetryAfter, batch: t.BatchParts,
 		in: make(chan any, queueDepth), nodes: map[broker.NodeID]discovery.Node{}, next: 1,
 		searches: map[uint64]*search{}, owners: map[uint64]*search{}, ids: map[string]bool{},
 		ask: func() {}, tell: func(string) {}}
@@ -189,6 +201,9 @@
 	if l.saved != nil {
 		next = min(next, l.weigh(now))
 	}
+	if l.gate != nil {
+		next = min(next, l.gateTick(now))
+	}
 	if l.wake > 0 && l.wake <= now {
 		l.wake = 0
 		l.events = append(l.events, broker.Event{Kind: broker.Woken})
@@ -219,6 +234,12 @@
 			} else {
 				l.tally.Left++
 			}
+			if d.s.abroad {
+				l.gate.near.Gone(d.s.id)
+				l.routed()
+				l.leaveAbroad(d.s, d.s.id)
+				return
+			}
 			l.events = append(l.events, broker.Event{Kind: broker.Left, ID: d.s.id})
 			l.finish(d.s)
 		}
@@ -228,6 +249,8 @@
 		l.events = append(l.events, broker.Event{Kind: broker.PeerSaid, From: uint32(d.from), Text: d.text})
 	case nodelist.Ask:
 		l.asked(d)
+	case link.Event:
+		l.linked(d)
 	case report:
 		t := l.tally
 		if l.saved != nil {
@@ -238,6 +261,9 @@
 		if m, tells := l.module.(pictured); tells {
 			t.OutByModule, t.ShutOut = m.Picture()
 		}
+		if l.gate != nil {
+			t.Gateway = &GatewayState{l.gate.near.Counts, l.gate.far.Counts, l.gate.near.State(l.since())}
+		}
 		d.to <- t
 	}
 }
@@ -256,14 +282,24 @@
 		return
 	}
 	l.tally.InHand++
+	l.ids[s.ask.id] = true
+	if l.gate != nil && !s.foreign {
+		l.gate.near.Taken()
+	}
+	l.enter(s, s.deadline-l.since())
+}
+
+// enter gives a search in hand to the module, with the time that is left to it.
+func (l *loop) enter(s *search, left time.Duration) {
+	n := len(s.ask.parts)
 	s.id = l.next
 	l.next += 1 + uint64(n)
 	l.places += 1 + n
-	l.searches[s.id], l.ids[s.ask.id] = s, true
+	l.searches[s.id] = s
 	s.parts = make([]part, n)
 	serial := float32(s.id % (1 << 24)) // exact in a float32, and far more ids than can be in hand
 	l.events = append(l.events, broker.Event{Kind: broker.SearchIn, ID: s.id, Serial: serial, Type: s.typ,
-		Tenant: s.tenant, Left: s.deadline - l.since(), Weight: float64(n), Repeat: s.repeat})
+		Tenant: s.tenant, Left: left, Weight: float64(n), Repeat: s.repeat})
 	for i := range s.ask.parts {
 		id := s.id + 1 + uint64(i)
 		l.owners[id] = s
@@ -359,8 +395,12 @@
 			l.pool.Cancel(p.parts[i].tries[a.Attempt])
 		}
 	case broker.Answer, broker.Shed, broker.Fail:
-		if s := l.searches[a.ID]; s != nil && !s.over {
-			l.conclude(s, s.verdictOf(a))
+		if s := l.searches[a.ID]; s != nil && !s.over && !s.abroad {
+			if a.Kind == broker.Shed && l.offer(s) {
+				l.routed()
+				return
+			}
+			l.conclude(s, s.shedding(s.verdictOf(a), l))
 			l.finish(s)
 		}
 	case broker.Wake:
@@ -409,7 +449,11 @@
 		l.tally.Errored++
 	}
 	s.over = true
-	s.verdict <- v
+	if s.to != nil {
+		s.to(v)
+	} else {
+		s.verdict <- v
+	}
 }
 
 // part finds the search that a part belongs to, and its place there.
@@ -442,7 +486,7 @@
 
 // flush sends a call, but for parts called off, or whose search ended, in the same turn; forget ends the latter.
 func (l *loop) flush(c *call) {
-	parts := slices.DeleteFunc(c.parts, func(t *store.Part) bool { return t.Over() || l.owners[t.Part].over })
+	parts := slices.DeleteFunc(c.parts, func(t *store.Part) bool { return t.Over() || l.owners[t.Part].over || l.owners[t.Part].abroad })
 	if len(parts) > 0 {
 		l.pool.Send(c.to, parts)
 	}
@@ -481,5 +525,7 @@
 		delete(l.owners, s.id+1+uint64(i))
 	}
 	delete(l.searches, s.id)
-	delete(l.ids, s.ask.id)
+	if !s.abroad {
+		delete(l.ids, s.ask.id)
+	}
 }
--- a/server/loop_test.go
+++ b/server/loop_test.go
@@ -67,8 +67,8 @@
 	nodes  []discovery.Node
 }
 
-// link is a connection to a stand-in node.
-type link struct {
+// nodeLink is a connection to a stand-in node.
+type nodeLink struct {
 	w     *world
 	cell  int
 	addr  string
@@ -78,7 +78,7 @@
 	once  sync.Once
 }
 
-func (l *link) Read(b []byte) (int, error) {
+func (l *nodeLink) Read(b []byte) (int, error) {
 	for len(l.rest) == 0 {
 		select {
 		case l.rest = <-l.say:
@@ -91,15 +91,15 @@
 	return n, nil
 }
 
-func (l *link) Close() error {
+func (l *nodeLink) Close() error {
 	l.once.Do(func() { close(l.ended) })
 	return nil
 }
 
-func (l *link) SetReadDeadline(time.Time) error { return nil }
+func (l *nodeLink) SetReadDeadline(time.Time) error { return nil }
 
 // TryWrite is a node that gets one frame whole, checks the rules and answers as chance has it.
-func (l *link) TryWrite(b []byte) (int, error) {
+func (l *nodeLink) TryWrite(b []byte) (int, error) {
 	w := l.w
 	select {
 	case <-l.ended:
@@ -136,7 +136,7 @@
 	return rand.New(rand.NewPCG(w.seed, h.Sum64()))
 }
 
-func (w *world) check(l *link, id string, shard int) {
+func (w *world) check(l *nodeLink, id string, shard int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.asked[id[:strings.IndexByte(id, '.')]]
@@ -155,7 +155,7 @@
 }
 
 // answer plays one of a node's ways, well in most cases.
-func (l *link) answer(id string) {
+func (l *nodeLink) answer(id string) {
 	w, rnd := l.w, l.w.chance(id+l.addr)
 	after := time.Duration(w10(rnd)) * 10 * time.Millisecond
 	w.mu.Lock()
@@ -313,7 +313,7 @@
 			return nil, io.EOF
 		}
 	}
-	return &link{w: w, cell: cell, addr: addr, say: make(chan []byte), ended: make(chan struct{})}, nil
+	return &nodeLink{w: w, cell: cell, addr: addr, say: make(chan []byte), ended: make(chan struct{})}, nil
 }
 
 func (w *world) play() {
--- a/server/server.go
+++ b/server/server.go
@@ -18,6 +18,8 @@
 
 	"flaxfront/broker"
 	"flaxfront/discovery"
+	"flaxfront/keys"
+	"flaxfront/link"
 	"flaxfront/operator"
 	"flaxfront/peers"
 	"flaxfront/state/nodelist"
@@ -62,6 +64,9 @@
 	longest  time.Duration // that any client waits
 	operator *operator.File
 	keeper   *nodelist.Store // nil: no list is kept
+	keys     *keys.Keyring   // nil: there is no gateway
+	links    *link.Links
+	linkAt   net.Listener // nil: no broker of another site comes here
 	after    func(time.Duration) <-chan time.Time
 }
 
@@ -122,6 +127,13 @@
 		s.asked = start.Discovery
 		s.nodeList.Move(start.Discovery.String())
 	}
+	if s.keys != nil {
+		if err := s.keys.Reload(); err != nil {
+			slog.Error("keys not taken; the old ones stay in force", "error", err)
+		} else {
+			slog.Info("keys taken", "broker", s.keys.ID(), "expires", s.keys.Ends())
+		}
+	}
 	slog.Info("configuration taken", "discovery", start.Discovery, "needs_restart", fixed)
 }
 
@@ -140,17 +152,27 @@
 	if s.operator.Listed() {
 		s.openSaved()
 	}
+	if s.operator.Linked() {
+		if err := s.openLinks(); err != nil {
+			s.listener.Close()
+			return err
+		}
+	}
 	return nil
 }
 
 // Run serves until stop is told, then answers what it has and returns.
 func (s *Server) Run(stop <-chan struct{}) error {
 	t, l := &s.start.Terms, s.start.Limits
-	forNodes := max(1, (l.Sockets-spareSockets)/nodesPart)
+	sockets := l.Sockets
+	if s.links != nil {
+		sockets -= len(s.operator.Sites.Targets) + s.operator.Sites.MostLinks + 1
+	}
+	forNodes := max(1, (sockets-spareSockets)/nodesPart)
 	s.clients.all, s.clients.room = map[*client]bool{}, make(chan struct{}, 1)
 	s.clients.moment = t.Dial
-	s.clients.most = max(1, l.Sockets-spareSockets-forNodes)
-	s.clients.kept = max(1, l.Sockets/requestsPart*3/4)
+	s.clients.most = max(1, sockets-spareSockets-forNodes)
+	s.clients.kept = max(1, sockets/requestsPart*3/4)
 	limits := store.Limits{Streams: t.Streams, Idle: t.Idle, Dial: t.Dial, Silent: s.longest, Conns: forNodes}
 	s.loop.pool = store.NewPool(s.ctx, limits, store.DialTCP, s.loop.since, s.group.Go,
 		func(e store.Event) { s.deliver(e) }, s.loop.subrequestEnded)
@@ -168,6 +190,9 @@
 		s.group.Go(func() error { return s.link.Send(s.ctx) })
 		s.group.Go(func() error { return s.link.Hear(s.ctx) })
 	}
+	if s.links != nil {
+		s.runLinks()
+	}
 	s.group.Go(func() error { return s.accept(s.ctx) })
 	slog.Info("serving", "name", s.start.Name, "at", s.listener.Addr(), "nodes", len(s.list.Nodes),
 		"clients", s.clients.most, "node_connections", forNodes)
@@ -186,6 +211,9 @@
 func (s *Server) drain() {
 	slog.Info("stopping", "in_hand", s.Counters().Searches.InHand)
 	s.draining.Store(true)
+	if s.links != nil {
+		s.links.Say(link.Status{Stopping: true}, true) // nothing new from other sites; what is in hand is finished
+	}
 	select {
 	case <-s.after(stopTaking):
 	case <-s.ctx.Done():
@@ -195,6 +223,9 @@
 	<-s.accepted
 	s.clients.closeIdle()
 	s.serving.Wait()
+	if s.links != nil {
+		s.drainLinks()
+	}
 }
 
 // deliver hands something to the loop and waits while its queue is full; false: it takes no more.
@@ -219,6 +250,7 @@
 	Clients  struct{ Accepted, Closed, BadRequests, Unwritten uint64 }
 	Peers    struct{ Sent, Heard, Strangers, TooLong, Dropped uint64 }
 	NodeList *ListCounts `json:",omitempty"` // where one is kept
+	Refused  uint64      `json:",omitempty"` // links that got no further than the handshake
 }
 
 // ListCounts tell of the writing of the node list.
@@ -239,6 +271,9 @@
 	cs := &s.clients
 	c.Clients.Accepted, c.Clients.Closed = cs.accepted.Load(), cs.closed.Load()
 	c.Clients.BadRequests, c.Clients.Unwritten = cs.refused.Load(), cs.unwritten.Load()
+	if s.links != nil {
+		c.Refused = s.links.Refused.Load()
+	}
 	if s.keeper != nil {
 		n := &s.keeper.Counts
 		c.NodeList = &ListCounts{n.Saving.Load(), n.Writes.Load(), n.Snapshots.Load(), n.Bytes.Load(), n.Failed.Load()}
