A node that is eased in and turns a part away rests before it gets another

All that fell were draining boxes: a refusal comes back within a millisecond, frees the one call that is allowed, and the part of another search follows at once; what is turned away presses on a cold node as well. Ruled out: the right boxes (none fell), the window (it stood at 1).

Change: after anything but an answer such a node gets nothing for the time that all brokers together can keep.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -656,23 +656,29 @@
 // vain at those that are gone. Such a node has one call out; each answer allows a little more, so that what it
 // is sent follows what it does. Where one call from each broker is too much, the first ones are spread.
 func (d *desk) mayEase(b *seat) bool {
-	t := d.l.t
-	share := max(0.01, min(1, coldSafety*t.FallMultiple*t.ColdFrom))
-	spread := float64(t.Brokers)*float64(d.base)/share - float64(t.FallAfter)
-	if b.last <= b.eased && float64(d.l.now-b.eased) < b.lot*spread {
+	spread := d.calm() - d.l.t.FallAfter
+	if b.last <= b.eased && float64(d.l.now-b.eased) < b.lot*float64(spread) || d.l.now < b.rest {
 		return false
 	}
 	return float64(len(b.calls)+1) <= b.window
 }
 
-// widen lets what a node that is eased in may have out follow what it does.
+// calm is the time between parts to a node that may be cold which all brokers can keep.
+func (d *desk) calm() time.Duration {
+	t := d.l.t
+	share := max(0.01, min(1, coldSafety*t.FallMultiple*t.ColdFrom))
+	return time.Duration(float64(t.Brokers) * float64(d.base) / share)
+}
+
+// widen lets what a node that is eased in may have out follow what it does. What it turns away presses on it as
+// well, and comes back at once: after that it rests.
 func (d *desk) widen(b *seat, e *broker.Event) {
 	switch t := d.l.t; {
 	case b.eased == 0:
 	case e.Outcome == broker.OK:
 		b.window += easeStep * max(0, min(1, t.FallMultiple-1))
 	case e.Outcome != broker.Cancelled || e.Took > d.p95:
-		b.window = max(1, b.window/2)
+		b.window, b.rest = max(1, b.window/2), d.l.now+d.calm()
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -22,6 +22,7 @@
 	last     time.Duration
 	eased    time.Duration // since when it is eased in; 0: it is not
 	window   float64       // calls that may be out at an eased node
+	rest     time.Duration // eased in, and it did not answer: nothing until then
 	lot      float64       // its place in the time over which brokers spread their first calls
 	talked   time.Duration // when something last passed between here and it
 	calls    []call        // out, oldest first
