--- a/cmd/flaxlab/live.go
+++ b/cmd/flaxlab/live.go
@@ -66,6 +66,9 @@
 }
 
 func newSite(dir string, nodes, cells int, seed uint64, operators string) (*site, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
 	f, err := lab.NewFleet(dir, nodes, cells, seed)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/cmd/flaxlab/sites.go
@@ -0,0 +1,228 @@
+package main
+
+// This file owns the experiment on two sites: a broker each before its own nodes, a wire between them, and what goes wrong.
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"flaxfront/keys"
+	"flaxfront/lab"
+)
+
+// pair is two sites and the wire between them; the first asks, the second is asked.
+type pair struct {
+	sites [2]*site
+	wires [2]*lab.Wire // to the second site, and to the first
+	live  [2]*live
+	links [2]string // where each listens for the other
+}
+
+func newPair(dir string, seed uint64, delay, jitter time.Duration, gateway bool) (*pair, error) {
+	p := &pair{}
+	now := time.Now()
+	ca := filepath.Join(dir, "ca")
+	if err := keys.NewAuthority(ca, "lab", 24*time.Hour, now); err != nil {
+		return nil, err
+	}
+	for i, name := range []string{"site-a", "site-b"} {
+		var err error
+		if p.links[i], err = lab.FreeAddr(); err != nil {
+			return nil, err
+		}
+		if p.wires[1-i], err = lab.NewWire(p.links[i], delay, jitter, seed); err != nil {
+			return nil, err
+		}
+		if _, err = keys.Issue(ca, filepath.Join(dir, name, "keys"), keys.ID{Site: name, Broker: "n0"}, time.Hour, now); err != nil {
+			return nil, err
+		}
+	}
+	for i, name := range []string{"site-a", "site-b"} {
+		other := []string{"site-b", "site-a"}[i]
+		file := "{}"
+		if gateway {
+			file = fmt.Sprintf(`{"sites": {"keys": %q, "listen": %q, "allow": [%q], "targets": ["%s=%s"], "share": 1, "burst": 1000,
+				"accept": 0.5}}`, filepath.Join(dir, name, "keys"), p.links[i], other, other, p.wires[i].Addr())
+		}
+		var err error
+		if p.sites[i], err = newSite(filepath.Join(dir, name), 8, 4, seed+uint64(i), file); err != nil {
+			return nil, err
+		}
+		if p.live[i], err = startBroker(p.sites[i].config, p.sites[i].file); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func (p *pair) close() {
+	for i := range p.live {
+		p.live[i].end()
+		p.sites[i].Close()
+		p.wires[i].Close()
+	}
+}
+
+// lose turns the nodes of some cells of the first site off.
+func (p *pair) lose(cells ...int) {
+	for i, n := range p.sites[0].Nodes {
+		if slices.Contains(cells, i%p.sites[0].Cells) {
+			n.Turn(lab.Dead)
+		}
+	}
+}
+
+func (p *pair) load(at int, rate float64, last time.Duration, seed uint64, audit *lab.Audit) *lab.Outcome {
+	return lab.Load{URL: "http://" + p.sites[at].at, Classes: []string{"find", "sign", "book"}, Tenant: "acme", Shards: 2 * p.sites[at].Cells,
+		Widest: 3, Rate: rate, For: last, Timeout: 1500 * time.Millisecond, Target: time.Second, Floor: 1, Seed: seed, Settle: audit.Settle}.Run()
+}
+
+func sitesCommand() *cobra.Command {
+	var delay time.Duration
+	var logs bool
+	var cuts bool
+	var searches int
+	c := &cobra.Command{
+		Use:   "sites",
+		Short: "Two simulated sites on sockets with a wire between: calm, losses and overload; or the wire cut under load",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if !logs {
+				slog.SetDefault(slog.New(slog.DiscardHandler))
+			}
+			if cuts {
+				return playCuts(cmd.OutOrStdout(), delay, searches)
+			}
+			return playSites(cmd.OutOrStdout(), delay)
+		},
+	}
+	c.Flags().DurationVar(&delay, "delay", 80*time.Millisecond, "added to a round trip")
+	c.Flags().BoolVar(&cuts, "cuts", false, "cut the wire in six ways at random instants under load")
+	c.Flags().IntVar(&searches, "searches", 20000, "with --cuts: how many, at least")
+	c.Flags().BoolVar(&logs, "logs", false, "the brokers' logs on standard error")
+	return c
+}
+
+// playSites compares the days with and without the gateway.
+func playSites(out io.Writer, delay time.Duration) error {
+	fmt.Fprintf(out, "%-34s  %-9s  %7s  %7s  %7s  %9s  %s\n", "first site", "gateway", "asked", "target", "shed", "forwarded", "rules broken")
+	for _, day := range []struct {
+		name string
+		lost []int
+		rate float64
+	}{
+		{"calm", nil, 100},
+		{"a quarter of its shards lost", []int{0}, 100},
+		{"asked for 1.5 times what it can do", nil, 2400},
+	} {
+		for _, gateway := range []bool{false, true} {
+			dir, err := os.MkdirTemp("", "flaxlab")
+			if err != nil {
+				return err
+			}
+			p, err := newPair(dir, 1, delay/2, 0, gateway)
+			if err != nil {
+				return err
+			}
+			time.Sleep(time.Second)
+			p.lose(day.lost...)
+			audit := &lab.Audit{Fleet: []*lab.Fleet{p.sites[0].Fleet, p.sites[1].Fleet}}
+			o := p.load(0, day.rate, 6*time.Second, 7, audit)
+			forwarded := uint64(0)
+			if g := p.live[0].Counters().Searches.Gateway; g != nil {
+				forwarded = g.Near.Forwarded
+			}
+			time.Sleep(300 * time.Millisecond)
+			broken, _ := audit.Check()
+			fmt.Fprintf(out, "%-34s  %-9v  %7d  %6.1f%%  %6.1f%%  %9d  %d\n", day.name, gateway, o.Asked,
+				100*float64(o.InTarget)/float64(o.Asked), 100*float64(o.Shed)/float64(o.Asked), forwarded, len(o.Broken)+len(broken))
+			p.close()
+			os.RemoveAll(dir)
+		}
+	}
+	return nil
+}
+
+// playCuts forwards a good part of all searches and cuts the wire, one way, the other, both, for short and for long, at
+// random instants; then it holds what clients were told against what the nodes of both sites ran.
+func playCuts(out io.Writer, delay time.Duration, searches int) error {
+	var sum lab.Outcome
+	var audited, round int
+	var broken []string
+	var gate [8]uint64
+	for ; sum.Asked < searches; round++ {
+		dir, err := os.MkdirTemp("", "flaxlab")
+		if err != nil {
+			return err
+		}
+		p, err := newPair(dir, uint64(round), delay/2, delay/8, true)
+		if err != nil {
+			return err
+		}
+		time.Sleep(time.Second)
+		p.lose(0, 1)
+		audit := &lab.Audit{Fleet: []*lab.Fleet{p.sites[0].Fleet, p.sites[1].Fleet}}
+		stop, done := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(done)
+			rnd := rand.New(rand.NewPCG(uint64(round), 5))
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(200+rnd.IntN(1200)) * time.Millisecond):
+				}
+				w := p.wires[0]
+				switch rnd.IntN(6) {
+				case 0:
+					w.Reset()
+				case 1:
+					w.Cut(true, false)
+				case 2:
+					w.Cut(false, true)
+				default:
+					w.Cut(true, true)
+				}
+				time.Sleep(time.Duration(20+rnd.IntN(1800)) * time.Millisecond)
+				if rnd.IntN(2) == 0 {
+					w.Reset()
+				}
+				w.Cut(false, false)
+			}
+		}()
+		o := p.load(0, 400, 20*time.Second, uint64(round), audit)
+		close(stop)
+		<-done
+		time.Sleep(2500 * time.Millisecond) // what was forwarded late comes to rest
+		why, n := audit.Check()
+		broken, audited = append(append(broken, why...), o.Broken...), audited+n
+		sum.Asked, sum.Answered, sum.Shed = sum.Asked+o.Asked, sum.Answered+o.Answered, sum.Shed+o.Shed
+		sum.Failed, sum.Unanswered, sum.InTarget = sum.Failed+o.Failed, sum.Unanswered+o.Unanswered, sum.InTarget+o.InTarget
+		c := p.live[0].Counters().Searches.Gateway.Near
+		far := p.live[1].Counters().Searches.Gateway.Far
+		for i, v := range []uint64{c.Forwarded, c.Answered, c.Lost, c.Resumed, c.BroughtHome, c.GivenUp, far.Joined + far.Repeated, far.CalledOff} {
+			gate[i] += v
+		}
+		p.close()
+		os.RemoveAll(dir)
+	}
+	fmt.Fprintf(out, "%d rounds, %v added: asked %d, answered %d, shed %d, failed %d, without answer %d\n", round, delay, sum.Asked,
+		sum.Answered, sum.Shed, sum.Failed, sum.Unanswered)
+	fmt.Fprintf(out, "forwarded %d, answered there %d, lost with the link %d, resumed %d, brought home %d, given up %d; there: joined or repeated %d, called off %d\n",
+		gate[0], gate[1], gate[2], gate[3], gate[4], gate[5], gate[6], gate[7])
+	fmt.Fprintf(out, "searches with an effect held against the nodes: %d; rules broken: %d\n", audited, len(broken))
+	if len(broken) > 0 {
+		fmt.Fprintln(out, strings.Join(broken[:min(len(broken), 10)], "\n"))
+		return fmt.Errorf("%d rules broken", len(broken))
+	}
+	return nil
+}
--- a/lab/load.go
+++ b/lab/load.go
@@ -19,8 +19,10 @@
 
 // Load is a course of searches.
 type Load struct {
-	URL     string // of the broker, without a path
-	Class   string // of search
+	URL     string                                              // of the broker, without a path
+	Class   string                                              // of search
+	Classes []string                                            // instead: one of these at random
+	Settle  func(search, class string, parts []int, status int) // told of each search's end, under a lock; nil: nobody
 	Tenant  string
 	Shards  int
 	Widest  int // parts of a search at most
@@ -59,12 +61,15 @@
 	}
 	for due := time.Duration(0); due < l.For; due += time.Duration(rnd.ExpFloat64() / l.Rate * float64(time.Second)) {
 		shards := rnd.Perm(l.Shards)[:1+rnd.IntN(l.Widest)]
-		search := fmt.Sprintf("%016x", rnd.Uint64())
+		search, class := fmt.Sprintf("%016x", rnd.Uint64()), l.Class
+		if len(l.Classes) > 0 {
+			class = l.Classes[rnd.IntN(len(l.Classes))]
+		}
 		time.Sleep(time.Until(begun.Add(due)))
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			l.one(client, o, begun, begun.Add(due), search, shards)
+			l.one(client, o, begun, begun.Add(due), search, class, shards)
 		}()
 	}
 	all.Wait()
@@ -72,7 +77,7 @@
 	return o
 }
 
-func (l Load) one(client *http.Client, o *Outcome, begun, due time.Time, search string, shards []int) {
+func (l Load) one(client *http.Client, o *Outcome, begun, due time.Time, search, class string, shards []int) {
 	type tablet struct {
 		Tablet   int     `json:"tablet"`
 		Fraction float64 `json:"fraction"`
@@ -85,7 +90,7 @@
 		ask.Tablets = append(ask.Tablets, tablet{s, 1 / float64(len(shards))})
 	}
 	body, _ := json.Marshal(ask)
-	req, _ := http.NewRequest("POST", l.URL+"/"+l.Class, bytes.NewReader(body))
+	req, _ := http.NewRequest("POST", l.URL+"/"+class, bytes.NewReader(body))
 	req.Header.Set("X-Request-ID", search)
 	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(l.Timeout.Milliseconds(), 10))
 	if l.Tenant != "" {
@@ -102,6 +107,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.Asked, o.lineAsked = o.Asked+1, o.lineAsked+1
+	if l.Settle != nil {
+		l.Settle(search, class, shards, status)
+	}
 	switch {
 	case err != nil:
 		o.Unanswered, o.lineX = o.Unanswered+1, o.lineX+1
