--- /dev/null
+++ b/cmd/flaxfront/keys.go
@@ -0,0 +1,195 @@
+package main
+
+// This file owns the commands on keys and links. It must never print a private key.
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"flaxfront/keys"
+	"flaxfront/operator"
+	"flaxfront/server"
+	"flaxfront/terms"
+)
+
+const day = 24 * time.Hour
+
+func keysCommand(file *string) *cobra.Command {
+	var dir, authority, name string
+	var id keys.ID
+	var days, lasts int
+	root := &cobra.Command{Use: "keys", Short: "Certificates for the links between sites"}
+	fresh := &cobra.Command{
+		Use:   "new-authority --dir DIR",
+		Short: "Make an authority; its key stays where certificates are issued, and goes to no broker",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := keys.NewAuthority(dir, name, time.Duration(lasts)*day, time.Now()); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s and %s made\n", filepath.Join(dir, keys.AuthorityCert), filepath.Join(dir, keys.AuthorityKey))
+			return nil
+		},
+	}
+	fresh.Flags().StringVar(&dir, "dir", "", "where")
+	fresh.Flags().StringVar(&name, "name", "flaxfront links", "what it is called")
+	fresh.Flags().IntVar(&lasts, "days", 3650, "how long it lasts")
+	fresh.MarkFlagRequired("dir")
+
+	issue := &cobra.Command{
+		Use:   "issue --authority DIR --dir DIR --site SITE --broker NAME",
+		Short: "Make a broker's certificate and key; a broker that runs takes them over at SIGHUP",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := keys.Issue(authority, dir, id, time.Duration(days)*day, time.Now())
+			if err == nil {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: certificate %s until %s, in %s\n", id, keys.Serial(c), c.NotAfter.Format(time.DateOnly), dir)
+			}
+			return err
+		},
+	}
+	issue.Flags().StringVar(&authority, "authority", "", "directory of the authority")
+	issue.Flags().StringVar(&dir, "dir", "", "the broker's directory; what stands there is replaced")
+	issue.Flags().StringVar(&id.Site, "site", "", "its site")
+	issue.Flags().StringVar(&id.Broker, "broker", "", "its name")
+	issue.Flags().IntVar(&days, "days", 365, "how long it lasts")
+	for _, flag := range []string{"authority", "dir", "site", "broker"} {
+		issue.MarkFlagRequired(flag)
+	}
+
+	show := &cobra.Command{
+		Use:   "show FILE...",
+		Short: "Print what certificates say",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, files []string) error {
+			for _, f := range files {
+				all, err := keys.ReadCertificates(f)
+				if err != nil {
+					return err
+				}
+				for _, c := range all {
+					who := c.Subject.CommonName + " (authority)"
+					if !c.IsCA {
+						id, err := keys.Identity(c)
+						if err != nil {
+							return fmt.Errorf("%s: %w", f, err)
+						}
+						who = id.String()
+					}
+					fmt.Fprintf(cmd.OutOrStdout(), "%s: %s, number %s, %s to %s\n", f, who, keys.Serial(c),
+						c.NotBefore.Format(time.DateOnly), c.NotAfter.Format(time.DateOnly))
+				}
+			}
+			return nil
+		},
+	}
+
+	revoke := &cobra.Command{
+		Use:   "revoke --authority DIR NUMBER...",
+		Short: "Add certificates to the list of revoked ones, which goes to every broker",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, numbers []string) error {
+			err := keys.Revoke(authority, numbers, time.Now())
+			if err == nil {
+				fmt.Fprintf(cmd.OutOrStdout(), "copy %s to every broker's directory, then send SIGHUP\n", filepath.Join(authority, keys.Revoked))
+			}
+			return err
+		},
+	}
+	revoke.Flags().StringVar(&authority, "authority", "", "directory of the authority")
+	revoke.MarkFlagRequired("authority")
+
+	check := &cobra.Command{
+		Use:   "check",
+		Short: "Read a broker's directory as the broker would, and tell what is wrong or expires soon",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if dir == "" {
+				own, err := operator.Read(*file)
+				if err != nil {
+					return err
+				}
+				if dir = own.Sites.Keys; dir == "" {
+					return fmt.Errorf("give --dir, or an operators' file that names sites.keys")
+				}
+			}
+			ring, err := keys.Open(dir)
+			if err != nil {
+				return err
+			}
+			left := time.Until(ring.Ends())
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: good for %s, expires in %d days\n", dir, ring.ID(), int(left/day))
+			if left < 30*day {
+				return fmt.Errorf("%s expires in %d days", dir, int(left/day))
+			}
+			return nil
+		},
+	}
+	check.Flags().StringVar(&dir, "dir", "", "the broker's directory (default: the operators' file's)")
+	root.AddCommand(fresh, issue, show, revoke, check)
+	return root
+}
+
+// sitesCommand asks a broker that runs for the state of its links.
+func sitesCommand(config *string) *cobra.Command {
+	var at string
+	c := &cobra.Command{
+		Use:   "sites",
+		Short: "Print the links of a broker that runs, and what went over them",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if at == "" {
+				if *config == "" {
+					return errNoConfig
+				}
+				start, err := terms.ReadStart(*config)
+				if err != nil {
+					return err
+				}
+				at = start.Listen.String()
+			}
+			client := &http.Client{Timeout: 3 * time.Second}
+			resp, err := client.Get("http://" + at + "/counters")
+			if err != nil {
+				return err
+			}
+			defer resp.Body.Close()
+			var counters server.Counters
+			if err := json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&counters); err != nil {
+				return fmt.Errorf("%s: %w", at, err)
+			}
+			g := counters.Searches.Gateway
+			if g == nil {
+				return fmt.Errorf("the broker at %s has no gateway", at)
+			}
+			w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 8, 2, ' ', 0)
+			fmt.Fprintln(w, "LINK\tUP\tTAKES\tROUND TRIP\tANSWERS IN\tABROAD\tCREDIT\tROOM THERE\tHEARD\tSHUT FOR")
+			for _, l := range g.Links {
+				heard := "never"
+				if l.HeardAgo >= 0 {
+					heard = l.HeardAgo.Round(time.Millisecond).String() + " ago"
+				}
+				fmt.Fprintf(w, "%s\t%v\t%v\t%v\t%v\t%d\t%d\t%.0f%%\t%s\t%v\n", l.Name, l.Up, l.Usable, l.RoundTrip.Round(time.Millisecond/10),
+					l.Took.Round(time.Millisecond), l.Abroad, l.Credit, 100*l.Room, heard, l.ShutFor.Round(time.Millisecond))
+			}
+			if err := w.Flush(); err != nil {
+				return err
+			}
+			n, f := &g.Near, &g.Far
+			fmt.Fprintf(cmd.OutOrStdout(), "from here: forwarded %d, answered %d, refused there %d, failed %d; lost with a link %d, resumed %d, brought home %d, given up %d\n"+
+				"not forwarded: no budget %d, no link %d, no time %d\nto here: came %d, run %d, turned away %d, came again %d, called off %d; in hand %d, remembered %d; refused handshakes %d\n",
+				n.Forwarded, n.Answered, n.RefusedThere, n.FailedThere, n.Lost, n.Resumed, n.BroughtHome, n.GivenUp, n.NoBudget, n.NoPeer,
+				n.NoTime, f.Came, f.Ran, f.TurnedAway, f.Joined+f.Repeated, f.CalledOff, f.InHand, f.Remembered, counters.Refused)
+			return nil
+		},
+	}
+	c.Flags().StringVar(&at, "at", "", "the broker's client address (default: the configuration's)")
+	return c
+}
--- a/cmd/flaxfront/main.go
+++ b/cmd/flaxfront/main.go
@@ -61,6 +61,8 @@
 		},
 		configCommand(&file),
 		nodesCommand(&config, &file),
+		keysCommand(&file),
+		sitesCommand(&config),
 		&cobra.Command{
 			Use:   "version",
 			Short: "Tell the version",
--- /dev/null
+++ b/keys/keys_test.go
@@ -0,0 +1,215 @@
+package keys
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+var now = time.Now()
+
+// hall is an authority with some brokers' directories.
+func hall(t *testing.T, ids ...ID) (dir string, of map[ID]string) {
+	t.Helper()
+	dir, of = t.TempDir(), map[ID]string{}
+	if err := NewAuthority(filepath.Join(dir, "ca"), "test", 48*time.Hour, now); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range ids {
+		of[id] = filepath.Join(dir, id.Site+"-"+id.Broker)
+		if _, err := Issue(filepath.Join(dir, "ca"), of[id], id, time.Hour, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir, of
+}
+
+// shake makes a handshake and returns what each side says of it.
+func shake(server, client *Keyring, atServer, atClient func(ID) error) (serverErr, clientErr error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err, err
+	}
+	defer ln.Close()
+	done := make(chan error, 1)
+	go func() {
+		a, err := ln.Accept()
+		if err != nil {
+			done <- err
+			return
+		}
+		s := tls.Server(a, server.Server(atServer))
+		if err = s.Handshake(); err == nil {
+			_, err = s.Write([]byte("x"))
+		}
+		a.Close()
+		done <- err
+	}()
+	b, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		return err, err
+	}
+	c := tls.Client(b, client.Client(atClient))
+	_, clientErr = c.Read(make([]byte, 1)) // in TLS 1.3 the server's refusal comes after the client's handshake
+	b.Close()
+	return <-done, clientErr
+}
+
+func any(ID) error { return nil }
+
+func open(t *testing.T, dir string) *Keyring {
+	t.Helper()
+	k, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// Two brokers of one authority meet; a stranger, another site's, an expired or a revoked one gets no further than the
+// handshake.
+func TestWhoGetsIn(t *testing.T) {
+	a, b := ID{"site-a", "n0"}, ID{"site-b", "n1"}
+	dir, of := hall(t, a, b)
+	_, others := hall(t, b)
+	ka, kb := open(t, of[a]), open(t, of[b])
+	if s, c := shake(ka, kb, any, any); s != nil || c != nil || ka.ID() != a {
+		t.Fatal(s, c)
+	}
+	if s, c := shake(ka, open(t, others[b]), any, any); s == nil || c == nil {
+		t.Errorf("a stranger: %v, %v", s, c)
+	}
+	onlyC := func(id ID) error {
+		if id.Site != "site-c" {
+			return fmt.Errorf("%s came", id)
+		}
+		return nil
+	}
+	if s, c := shake(ka, kb, onlyC, any); s == nil || c == nil || !strings.Contains(s.Error(), "site-b/n1 came") {
+		t.Errorf("another site's: %v, %v", s, c)
+	}
+	if s, c := shake(ka, kb, any, onlyC); s == nil || c == nil {
+		t.Errorf("another site's, seen by the client: %v, %v", s, c)
+	}
+	later := &Keyring{dir: ka.dir, now: func() time.Time { return now.Add(2 * time.Hour) }}
+	later.at.Store(ka.at.Load())
+	if s, _ := shake(later, kb, any, any); s == nil || !strings.Contains(s.Error(), "expired") {
+		t.Errorf("an expired one: %v", s)
+	}
+	if err := later.Reload(); err == nil || !strings.Contains(err.Error(), "expired") {
+		t.Errorf("an expired one of its own: %v", err)
+	}
+	ca := filepath.Join(dir, "ca")
+	if err := Revoke(ca, []string{Serial(kb.at.Load().own.Leaf)}, now); err != nil {
+		t.Fatal(err)
+	}
+	list, _ := os.ReadFile(filepath.Join(ca, Revoked))
+	os.WriteFile(filepath.Join(of[a], Revoked), list, 0o644)
+	if err := ka.Reload(); err != nil {
+		t.Fatal(err)
+	}
+	if s, c := shake(ka, kb, any, any); s == nil || c == nil || !strings.Contains(s.Error(), "revoked") {
+		t.Errorf("a revoked one: %v, %v", s, c)
+	}
+	if err := Revoke(ca, []string{"zz"}, now); err == nil {
+		t.Error("revoked what is no number")
+	}
+}
+
+// Certificates change under a broker that runs: a new one counts from the next handshake on, a wrong one changes nothing,
+// and while one authority follows another both are trusted.
+func TestRotation(t *testing.T) {
+	a, b := ID{"site-a", "n0"}, ID{"site-b", "n1"}
+	dir, of := hall(t, a, b)
+	ka, kb := open(t, of[a]), open(t, of[b])
+	before := ka.Ends()
+	if _, err := Issue(filepath.Join(dir, "ca"), of[a], a, 3*time.Hour, now); err != nil {
+		t.Fatal(err)
+	}
+	if err := ka.Reload(); err != nil || !ka.Ends().After(before) {
+		t.Fatal(err, ka.Ends())
+	}
+	if s, c := shake(ka, kb, any, any); s != nil || c != nil {
+		t.Fatal(s, c)
+	}
+	os.WriteFile(filepath.Join(of[a], BrokerCert), []byte("-----BEGIN"), 0o644)
+	if err := ka.Reload(); err == nil {
+		t.Error("took half a certificate")
+	}
+	if s, c := shake(ka, kb, any, any); s != nil || c != nil {
+		t.Errorf("after a wrong one: %v, %v", s, c)
+	}
+	// b moves to a second authority; a trusts both meanwhile.
+	next := filepath.Join(dir, "next")
+	if err := NewAuthority(next, "next", 48*time.Hour, now); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Issue(next, of[b], b, time.Hour, now); err != nil {
+		t.Fatal(err)
+	}
+	one, _ := os.ReadFile(filepath.Join(dir, "ca", AuthorityCert))
+	two, _ := os.ReadFile(filepath.Join(next, AuthorityCert))
+	for _, d := range []string{of[a], of[b]} {
+		os.WriteFile(filepath.Join(d, AuthorityCert), append(one, two...), 0o644)
+	}
+	if _, err := Issue(filepath.Join(dir, "ca"), of[a], a, time.Hour, now); err != nil {
+		t.Fatal(err)
+	}
+	os.WriteFile(filepath.Join(of[a], AuthorityCert), append(one, two...), 0o644)
+	if err := errors.Join(ka.Reload(), kb.Reload()); err != nil {
+		t.Fatal(err)
+	}
+	if s, c := shake(ka, kb, any, any); s != nil || c != nil {
+		t.Errorf("between two authorities: %v, %v", s, c)
+	}
+}
+
+// Keys that others may read, names that could be read in two ways, an authority in the way: each is refused.
+func TestRefusals(t *testing.T) {
+	a := ID{"site-a", "n0"}
+	dir, of := hall(t, a)
+	ca := filepath.Join(dir, "ca")
+	os.Chmod(filepath.Join(of[a], BrokerKey), 0o644)
+	if _, err := Open(of[a]); err == nil || !strings.Contains(err.Error(), "read by others") {
+		t.Error(err)
+	}
+	for _, path := range []string{filepath.Join(ca, AuthorityKey)} {
+		if info, err := os.Stat(path); err != nil || info.Mode().Perm() != 0o600 {
+			t.Errorf("%s: %v, %v", path, info.Mode(), err)
+		}
+	}
+	if err := NewAuthority(ca, "again", time.Hour, now); err == nil {
+		t.Error("replaced an authority")
+	}
+	for _, id := range []ID{{"", "n"}, {"a", ""}, {"A", "n"}, {"a/b", "n"}, {"a", "n/x"}, {"-a", "n"}, {"a", strings.Repeat("n", 64)}} {
+		if _, err := Issue(ca, filepath.Join(dir, "x"), id, time.Hour, now); err == nil {
+			t.Errorf("issued to %q", id)
+		}
+	}
+	if _, err := Issue(ca, filepath.Join(dir, "x"), a, time.Hour, now.Add(72*time.Hour)); err == nil || !strings.Contains(err.Error(), "expired") {
+		t.Errorf("an expired authority issued: %v", err)
+	}
+	if c, err := Issue(ca, filepath.Join(dir, "x"), a, 1000*time.Hour, now); err != nil || c.NotAfter.After(now.Add(49*time.Hour)) {
+		t.Errorf("outlives its authority: %v, %v", c.NotAfter, err)
+	}
+}
+
+func FuzzIdentity(f *testing.F) {
+	f.Add("site-a", "n0")
+	f.Add("a%2fb", "../n")
+	f.Fuzz(func(t *testing.T, site, name string) {
+		id := ID{site, name}
+		if id.Check() != nil {
+			return
+		}
+		if u := id.url(); u.Host != site || u.Path != "/"+name || u.String() != scheme+"://"+site+"/"+name {
+			t.Errorf("%q is written %q", id, u)
+		}
+	})
+}
