--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 )
 
@@ -53,9 +54,13 @@
   "warmAfterNs":12000000000},"stepNs":5000000}`, f.Cells, 2*f.Cells)
 }
 
-// FreeAddr finds a loopback address that nobody listens at.
+var taken atomic.Uint32
+
+// FreeAddr finds a loopback address that nobody listens at, on an IP of its own, so that no other listener of this machine
+// comes to it meanwhile.
 func FreeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	n := taken.Add(1)
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, n>>8&0xff, 1+n&0x7f))
 	if err != nil {
 		return "", err
 	}
--- a/link/conn.go
+++ b/link/conn.go
@@ -327,12 +327,8 @@
 	}
 }
 
-var errBye = errors.New("bye")
-
 func (c *Conn) why(err error, late string) string {
 	switch {
-	case errors.Is(err, errBye):
-		return "bye"
 	case errors.Is(err, errFrame):
 		slog.Warn("link: what came makes no sense", "site", c.Theirs.Site, "broker", c.Theirs.Broker, "error", err)
 		return "bad_frame"
@@ -351,8 +347,6 @@
 	switch {
 	case letter == letterBeat:
 		return c.takeBeat(b)
-	case letter == letterBye:
-		return errBye
 	case letter == letterAsk && !asking:
 		a, err := decodeAsk(b)
 		if err != nil {
--- a/link/frame.go
+++ b/link/frame.go
@@ -20,7 +20,7 @@
 
 // The versions of the protocol that this side speaks. The hello is the same in all of them.
 //
-//	1  hello, ask, verdict, cancel, beat, bye
+//	1  hello, ask, verdict, cancel, beat; a planned stop is told in the status of a beat
 //	2  grant: verdicts take no more than the bytes that the asking side has room for
 const (
 	MinVersion = 1
@@ -121,11 +121,6 @@
 	Bytes int
 }
 
-type bye struct {
-	_      struct{} `cbor:",toarray"`
-	Reason string
-}
-
 // letters of the frames.
 const (
 	letterHello   = 'h'
@@ -134,7 +129,6 @@
 	letterCancel  = 'c'
 	letterBeat    = 'b'
 	letterGrant   = 'g'
-	letterBye     = 'x'
 )
 
 var (
--- a/link/link.go
+++ b/link/link.go
@@ -208,6 +208,9 @@
 	for {
 		nc, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			if err == nil {
+				nc.Close()
+			}
 			return nil
 		}
 		if err != nil {
--- /dev/null
+++ b/server/gateway_test.go
@@ -0,0 +1,210 @@
+package server
+
+import (
+	"fmt"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"flaxfront/keys"
+	"flaxfront/lab"
+	"flaxfront/operator"
+	"flaxfront/terms"
+)
+
+// twin is two sites on loopback with a wire from the first to the second.
+type twin struct {
+	t     *testing.T
+	dir   string
+	fleet [2]*lab.Fleet
+	at    [2]string // where each listens for the other
+	wire  *lab.Wire
+	live  [2]*Server
+	stop  [2]func()
+	audit *lab.Audit
+	loads uint64 // each brings searches of its own
+}
+
+func newTwin(t *testing.T, delay time.Duration) *twin {
+	w := &twin{t: t, dir: t.TempDir()}
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	must(keys.NewAuthority(filepath.Join(w.dir, "ca"), "test", time.Hour, time.Now()))
+	for i, site := range []string{"site-a", "site-b"} {
+		var err error
+		w.at[i], err = lab.FreeAddr()
+		must(err)
+		_, err = keys.Issue(filepath.Join(w.dir, "ca"), filepath.Join(w.dir, site), keys.ID{Site: site, Broker: "n0"}, time.Hour, time.Now())
+		must(err)
+		w.fleet[i], err = lab.NewFleet(t.TempDir(), 8, 4, uint64(i))
+		must(err)
+		must(w.fleet[i].Discovery.Up("127.0.0.1:0"))
+		t.Cleanup(w.fleet[i].Close)
+	}
+	var err error
+	w.wire, err = lab.NewWire(w.at[1], delay/2, 0, 1)
+	must(err)
+	t.Cleanup(w.wire.Close)
+	w.audit = &lab.Audit{Fleet: w.fleet[:]}
+	for i := range w.live {
+		w.start(i)
+	}
+	w.until("the link stands", func() bool { return w.near(0).Links[0].HeardAgo >= 0 })
+	return w
+}
+
+func (w *twin) start(i int) {
+	w.t.Helper()
+	target := []string{"site-b=" + w.wire.Addr(), "site-a=" + w.at[0]}[i]
+	site, other := []string{"site-a", "site-b"}[i], []string{"site-b", "site-a"}[i]
+	text := fmt.Sprintf(`{"sites": {"keys": %q, "listen": %q, "allow": [%q], "targets": [%q], "share": 1, "burst": 500, "accept": 0.5}}`,
+		filepath.Join(w.dir, site), w.at[i], other, target)
+	file, err := operator.Decode("f", []byte(text))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	path, err := w.fleet[i].Config("n0", "127.0.0.1:0", w.fleet[i].Discovery.Addr(), true)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	start, err := terms.ReadStart(path)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	s, err := New(start, file, module)
+	if err == nil {
+		err = s.Open()
+	}
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	end, done, ended := make(chan struct{}), make(chan error, 1), false
+	go func() { done <- s.Run(end) }()
+	w.live[i], w.stop[i] = s, func() {
+		if !ended {
+			ended = true
+			close(end)
+			if err := <-done; err != nil {
+				w.t.Error(err)
+			}
+		}
+	}
+	w.t.Cleanup(w.stop[i])
+}
+
+func (w *twin) until(what string, so func() bool) {
+	w.t.Helper()
+	(&keeping{t: w.t}).until(what, so)
+}
+
+func (w *twin) near(i int) *GatewayState { return w.live[i].Counters().Searches.Gateway }
+
+// lose ends the nodes of a cell at a site.
+func (w *twin) lose(site, cell int) {
+	for i, n := range w.fleet[site].Nodes {
+		if i%4 == cell {
+			n.Turn(lab.Dead)
+		}
+	}
+}
+
+func (w *twin) load(rate float64, last time.Duration) *lab.Outcome {
+	w.loads++
+	o := lab.Load{URL: "http://" + w.live[0].listener.Addr().String(), Classes: []string{"find", "sign", "book"}, Tenant: "acme",
+		Shards: 8, Widest: 3, Rate: rate, For: last, Timeout: 1500 * time.Millisecond, Target: time.Second, Floor: 1, Seed: w.loads,
+		Settle: w.audit.Settle}.Run()
+	time.Sleep(100 * time.Millisecond)
+	why, _ := w.audit.Check()
+	for _, s := range append(o.Broken, why...) {
+		w.t.Error(s)
+	}
+	return o
+}
+
+// What the first site has no holders for is served at the second, within the client's time and with the second's values.
+func TestForwarding(t *testing.T) {
+	w := newTwin(t, 40*time.Millisecond)
+	if o := w.load(100, 300*time.Millisecond); w.near(0).Near.Forwarded > 0 || o.Answered < o.Asked*9/10 {
+		t.Errorf("on a calm day %+v, %v", w.near(0).Near, o)
+	}
+	w.lose(0, 0)
+	o := w.load(100, 700*time.Millisecond)
+	n := w.near(0).Near
+	if n.Forwarded == 0 || n.Answered == 0 || o.Answered < o.Asked*9/10 || w.near(1).Far.Ran != n.Forwarded {
+		t.Errorf("%+v, %v", n, o)
+	}
+	// The second site drains a box while forwarded searches are on their way.
+	w.fleet[1].List[0].Lifecycle = "terminating"
+	w.fleet[1].Discovery.Set(w.fleet[1].List)
+	time.Sleep(500 * time.Millisecond)
+	before := w.fleet[1].Nodes[0].Parts.Load()
+	w.load(100, 500*time.Millisecond)
+	if n := w.fleet[1].Nodes[0].Parts.Load() - before; n > 0 {
+		t.Errorf("%d parts came to a box 500 ms after its broker was told that it drains", n)
+	}
+	// Neither site has holders: searches are shed at once, and nothing goes back and forth.
+	w.lose(1, 0)
+	w.load(100, 500*time.Millisecond)
+	w.until("that is known", func() bool { return w.near(1).Far.InHand == 0 })
+	time.Sleep(300 * time.Millisecond)
+	forwarded := w.near(0).Near.Forwarded
+	w.load(60, 300*time.Millisecond)
+	if n := w.near(0).Near.Forwarded - forwarded; n > 5 {
+		t.Errorf("%d searches were forwarded to a site that has no holders either", n)
+	}
+	if w.near(1).Near.Forwarded > 0 {
+		t.Errorf("the second site sent searches on: %+v", w.near(1).Near)
+	}
+}
+
+// The wire is cut, one way and both, and reset, while searches wait: each has one answer in time, and no effect comes twice.
+func TestCutUnderLoad(t *testing.T) {
+	w := newTwin(t, 80*time.Millisecond)
+	w.lose(0, 0)
+	w.lose(0, 1)
+	go func() {
+		for _, cut := range [][2]bool{{true, false}, {false, true}, {true, true}} {
+			time.Sleep(300 * time.Millisecond)
+			w.wire.Cut(cut[0], cut[1])
+			time.Sleep(200 * time.Millisecond)
+			w.wire.Reset()
+			w.wire.Cut(false, false)
+		}
+	}()
+	o := w.load(150, 2*time.Second)
+	n := w.near(0).Near
+	if o.Unanswered > 0 || n.Forwarded == 0 || n.Abroad != 0 {
+		t.Errorf("%v, %+v", o, n)
+	}
+}
+
+// The second site's broker stops as planned, and another takes its place: nothing new goes there from when it is told, what
+// is in hand is finished, and the new one is used.
+func TestFarStops(t *testing.T) {
+	w := newTwin(t, 20*time.Millisecond)
+	w.lose(0, 0)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		time.Sleep(300 * time.Millisecond)
+		w.stop[1]()
+	}()
+	if o := w.load(100, time.Second); o.Unanswered > 0 {
+		t.Error(o)
+	}
+	<-ended
+	if n := w.near(0).Near; n.Lost > 0 {
+		t.Errorf("searches were lost with a planned stop: %+v", n)
+	}
+	w.start(1)
+	w.until("the link stands again", func() bool { return w.near(0).Links[0].Usable })
+	answered := w.near(0).Near.Answered
+	w.load(100, 300*time.Millisecond)
+	if w.near(0).Near.Answered == answered {
+		t.Error("the new broker was not used")
+	}
+}
