--- a/cmd/flaxlab/sites.go
+++ b/cmd/flaxlab/sites.go
@@ -90,7 +90,7 @@
 	var delay time.Duration
 	var logs bool
 	var cuts bool
-	var searches int
+	var searches, seed int
 	c := &cobra.Command{
 		Use:   "sites",
 		Short: "Two simulated sites on sockets with a wire between: calm, losses and overload; or the wire cut under load",
@@ -100,7 +100,7 @@
 				slog.SetDefault(slog.New(slog.DiscardHandler))
 			}
 			if cuts {
-				return playCuts(cmd.OutOrStdout(), delay, searches)
+				return playCuts(cmd.OutOrStdout(), delay, searches, seed)
 			}
 			return playSites(cmd.OutOrStdout(), delay)
 		},
@@ -108,6 +108,7 @@
 	c.Flags().DurationVar(&delay, "delay", 80*time.Millisecond, "added to a round trip")
 	c.Flags().BoolVar(&cuts, "cuts", false, "cut the wire in six ways at random instants under load")
 	c.Flags().IntVar(&searches, "searches", 20000, "with --cuts: how many, at least")
+	c.Flags().IntVar(&seed, "seed", 0, "with --cuts: number of the first round")
 	c.Flags().BoolVar(&logs, "logs", false, "the brokers' logs on standard error")
 	return c
 }
@@ -158,9 +159,10 @@
 
 // playCuts forwards a good part of all searches and cuts the wire, one way, the other, both, for short and for long, at
 // random instants; then it holds what clients were told against what the nodes of both sites ran.
-func playCuts(out io.Writer, delay time.Duration, searches int) error {
+func playCuts(out io.Writer, delay time.Duration, searches, seed int) error {
 	var sum lab.Outcome
-	var audited, round int
+	var audited int
+	round := seed
 	var broken []string
 	var gate [8]uint64
 	for ; sum.Asked < searches; round++ {
@@ -168,7 +170,11 @@
 		if err != nil {
 			return err
 		}
-		p, err := newPair(dir, uint64(round), delay/2, delay/8, true)
+		jitter := delay / 8
+		if round%4 == 2 {
+			jitter = delay / 2 // as much as the delay itself
+		}
+		p, err := newPair(dir, uint64(round), delay/2, jitter, true)
 		if err != nil {
 			return err
 		}
@@ -186,6 +192,14 @@
 				case <-time.After(time.Duration(200+rnd.IntN(1200)) * time.Millisecond):
 				}
 				w := p.wires[0]
+				if round%4 == 3 { // flaps
+					for range 4 {
+						w.Cut(true, true)
+						time.Sleep(300 * time.Millisecond)
+						w.Cut(false, false)
+						time.Sleep(300 * time.Millisecond)
+					}
+				}
 				switch rnd.IntN(6) {
 				case 0:
 					w.Reset()
@@ -219,7 +233,7 @@
 		p.close()
 		os.RemoveAll(dir)
 	}
-	fmt.Fprintf(out, "%d rounds, %v added: asked %d, answered %d, shed %d, failed %d, without answer %d\n", round, delay, sum.Asked,
+	fmt.Fprintf(out, "%d rounds, %v added: asked %d, answered %d, shed %d, failed %d, without answer %d\n", round-seed, delay, sum.Asked,
 		sum.Answered, sum.Shed, sum.Failed, sum.Unanswered)
 	fmt.Fprintf(out, "forwarded %d, answered there %d, lost with the link %d, resumed %d, brought home %d, given up %d; there: joined or repeated %d, called off %d\n",
 		gate[0], gate[1], gate[2], gate[3], gate[4], gate[5], gate[6], gate[7])
--- a/server/saved_test.go
+++ b/server/saved_test.go
@@ -105,6 +105,13 @@
 	k.Nodes[1].Turn(lab.Dead)
 	k.Nodes[2].Turn(lab.Hanging)
 	k.Nodes[3].Turn(lab.Draining)
+	// The address of a node has changed hands: another one, of the other cell, answers there.
+	k.Nodes[5].Turn(lab.Dead)
+	other, err := lab.StartNode(k.Nodes[5].Addr(), lab.NewBox("other", 0, 2, 5*time.Millisecond, lab.Warmth{}, 9), 2, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Turn(lab.Dead)
 	s, end = k.start(true) // the configuration still lists the drained node as it was
 	o := k.load(s, 1500*time.Millisecond)
 	if len(o.Broken) > 0 || o.Answered < o.Asked*9/10 {
@@ -114,6 +121,9 @@
 		t.Errorf("%d parts went to a node whose drain was told before the restart", n-drained)
 	}
 	c := s.Counters().Searches.Trust
+	if other.Wrong.Load() == 0 || other.Wrong.Load() > 10 {
+		t.Errorf("%d parts went to what answers at the address of another", other.Wrong.Load())
+	}
 	if c.Confirmed < 3 || c.Barred != 1 || c.Confirmed+c.Doubtful+c.StruckOut+c.Barred != 8 {
 		t.Errorf("%+v", c)
 	}
