--- /dev/null
+++ b/cmd/flaxlab/flood.go
@@ -0,0 +1,115 @@
+package main
+
+// This file owns the experiment on fair queues: one tenant floods, another asks as ever.
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"flaxfront/lab"
+)
+
+func floodCommand() *cobra.Command {
+	var conns int
+	var last time.Duration
+	c := &cobra.Command{
+		Use:   "flood",
+		Short: "On sockets: a quiet tenant beside one that floods and comes back at once, with and without fair queues",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			slog.SetDefault(slog.New(slog.DiscardHandler))
+			out := cmd.OutOrStdout()
+			fmt.Fprintf(out, "%-22s  %-9s  %-34s  %-30s\n", "door", "flood", "quiet: asked, served, p50, p99", "flooder: served a second, turned away")
+			for _, door := range []string{"first come first served", "fair queues"} {
+				for _, flood := range []int{0, conns} {
+					if err := playFlood(out, door, flood, last); err != nil {
+						return err
+					}
+				}
+			}
+			return nil
+		},
+	}
+	c.Flags().IntVar(&conns, "conns", 150, "connections of the flooder")
+	c.Flags().DurationVar(&last, "for", 8*time.Second, "how long each")
+	return c
+}
+
+func playFlood(out io.Writer, door string, conns int, last time.Duration) error {
+	dir, err := os.MkdirTemp("", "flaxlab")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	file := "{}"
+	if door != "first come first served" {
+		file = `{"door": {"on": true}}`
+	}
+	s, err := newSite(dir, 8, 2, 1, file)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	s.Pace(40 * time.Millisecond) // 16 cores: room for 200 searches of two parts a second
+	l, err := startBroker(s.config, s.file)
+	if err != nil {
+		return err
+	}
+	time.Sleep(300 * time.Millisecond)
+	stop := make(chan struct{})
+	var flooders sync.WaitGroup
+	var mu sync.Mutex
+	served, turned := 0, 0
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: conns + 1}, Timeout: 5 * time.Second}
+	for i := range conns {
+		flooders.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				req, _ := http.NewRequest("POST", "http://"+s.at+"/find", strings.NewReader(
+					`{"tablets":[{"tablet":`+strconv.Itoa(n%4)+`,"fraction":0.5},{"tablet":`+strconv.Itoa((n+1)%4)+`,"fraction":0.5}],"statement":"f"}`))
+				req.Header.Set("X-Request-ID", fmt.Sprintf("f%d-%d", i, n))
+				req.Header.Set("X-Timeout-Ms", "2000")
+				req.Header.Set("X-Tenant-Id", "acme")
+				resp, err := client.Do(req)
+				if err != nil {
+					time.Sleep(10 * time.Millisecond)
+					continue
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				mu.Lock()
+				if resp.StatusCode == 200 {
+					served++
+				} else {
+					turned++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	o := lab.Load{URL: "http://" + s.at, Class: "find", Tenant: "quiet", Shards: 4, Widest: 3, Rate: 20, For: last,
+		Timeout: 2 * time.Second, Target: time.Second, Floor: 1, Seed: 5}.Run()
+	close(stop)
+	flooders.Wait()
+	client.CloseIdleConnections()
+	q := func(p float64) float64 { return float64(o.Latency.ValueAtQuantile(p)) / 1000 }
+	fmt.Fprintf(out, "%-22s  %-9d  %4d, %5.1f%%, %6.1f ms, %7.1f ms    %6.1f, %d; rules broken %d\n", door, conns, o.Asked,
+		100*float64(o.Answered)/float64(o.Asked), q(50), q(99), float64(served)/last.Seconds(), turned, len(o.Broken))
+	if d := l.Counters().Searches.Door; d != nil {
+		fmt.Fprintf(out, "  limit %.0f parts, %.0f a second, baseline %v\n", d.Limit, d.Rate, d.Baseline.Round(time.Millisecond))
+	}
+	return l.end()
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -17,6 +17,7 @@
 type File struct {
 	Start Start `json:"start" doc:"starting while discovery is down"`
 	Sites Sites `json:"sites" doc:"the gateway to other sites"`
+	Door  Door  `json:"door" doc:"fair queues by tenant and client"`
 
 	path string
 	said map[string]bool // the fields that the file names
@@ -71,6 +72,16 @@
 	Credit     int           `json:"credit" default:"128" min:"1" max:"10000" doc:"searches that one broker of another site may have out here"`
 }
 
+// Door holds the settings of fair queuing at the door.
+type Door struct {
+	On        bool     `json:"on" doc:"share what the store can do between tenants; false: first come, first served"`
+	Weights   []string `json:"weights" doc:"TENANT=WEIGHT of every tenant, adding up to 1; empty: the portions of the settings"`
+	WaitShare float64  `json:"wait_share" default:"0.25" min:"0" max:"0.9" doc:"of its time left that a search may wait"`
+	MostWait  int      `json:"most_wait" default:"64" min:"1" max:"4096" doc:"searches of one tenant that wait"`
+	LeastWork int      `json:"least_work" default:"8" min:"1" max:"100000" doc:"parts in hand that are always let in"`
+	Repeats   float64  `json:"repeats" default:"0.2" min:"0" max:"10" doc:"clients' repeats let in while others wait, as a share of a tenant's fresh searches"`
+}
+
 // Target is one broker of another site.
 type Target struct {
 	Site string
--- a/server/ask.go
+++ b/server/ask.go
@@ -7,6 +7,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
+	"io"
 	"math"
 	"slices"
 	"strconv"
@@ -59,6 +61,9 @@
 		return nil, no(400, "X-Timeout-Ms %.40q", limit)
 	}
 	a.timeout = min(time.Duration(ms)*time.Millisecond, t.Module.Types[a.typ].Timeout)
+	if cookie, times := m.Get("cookie"); times == 1 {
+		a.client = clientOf(cookie)
+	}
 	again, _ := m.Get("x-retried")
 	a.repeat = again == "1"
 	return a, a.readBody(m.Body, t)
@@ -105,6 +110,18 @@
 	return nil
 }
 
+// clientOf hashes the key "user" of a cookie; 0: there is none.
+func clientOf(cookie string) uint64 {
+	for part := range strings.SplitSeq(cookie, ";") {
+		if name, value, _ := strings.Cut(strings.TrimSpace(part), "="); name == "user" && value != "" {
+			h := fnv.New64a()
+			io.WriteString(h, value)
+			return max(1, h.Sum64())
+		}
+	}
+	return 0
+}
+
 // partName names a part to nodes.
 func partName(search string, shard int) string { return search + "." + strconv.Itoa(shard) }
 
--- /dev/null
+++ b/server/door.go
@@ -0,0 +1,148 @@
+package server
+
+// This file owns the loop's part of fair queuing: own searches come by the door before they take a place, and wait there or
+// are turned away as it rules. It must never hold one that the door has given up, or let the door see what it let in.
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"flaxfront/decide/admission"
+	"flaxfront/operator"
+	"flaxfront/terms"
+)
+
+// doorway is the loop's part of it.
+type doorway struct {
+	*admission.Door
+	waiting map[uint64]*search // by ticket
+	last    uint64
+	names   []string
+}
+
+// newDoorway makes the door of the operators' file and the settings.
+func newDoorway(o *operator.Door, t *terms.Terms) (*doorway, error) {
+	p := admission.Policy{WaitShare: o.WaitShare, MostWait: o.MostWait, LeastWork: float64(o.LeastWork), Repeats: o.Repeats,
+		MostHint: t.Module.MaxRetryAfter, Seed: t.Module.Seed}
+	names := t.Tenants
+	for i := range t.Module.Tenants {
+		p.Weights = append(p.Weights, t.Module.Tenants[i].Portion)
+	}
+	if len(names) == 0 {
+		names, p.Weights = []string{"all"}, []float64{1}
+	}
+	if len(o.Weights) > 0 {
+		if err := weigh(p.Weights, names, o.Weights); err != nil {
+			return nil, fmt.Errorf("operators' file: door.weights: %w", err)
+		}
+	}
+	return &doorway{admission.NewDoor(p), map[uint64]*search{}, 0, names}, nil
+}
+
+// weigh reads TENANT=WEIGHT texts, which must name each tenant once and add up to 1.
+func weigh(weights []float64, names, texts []string) error {
+	sum, said := 0.0, map[string]bool{}
+	for _, text := range texts {
+		name, value, _ := strings.Cut(text, "=")
+		at := -1
+		for i, n := range names {
+			if n == name {
+				at = i
+			}
+		}
+		w, err := strconv.ParseFloat(value, 64)
+		if at < 0 || said[name] || err != nil || !(w >= 0 && w <= 1) {
+			return fmt.Errorf("%.60q is not TENANT=WEIGHT of a tenant of the settings, named once, from 0 to 1", text)
+		}
+		said[name], weights[at] = true, w
+		sum += w
+	}
+	if len(said) != len(names) || math.Abs(sum-1) > 0.001 {
+		return fmt.Errorf("%d of %d tenants are named, and their weights add up to %v instead of 1", len(said), len(names), sum)
+	}
+	return nil
+}
+
+// atDoor asks the door of a search; true: it may enter now.
+func (l *loop) atDoor(s *search) bool {
+	d, now := l.door, l.since()
+	d.last++
+	s.ticket, s.work = d.last, float64(len(s.ask.parts))
+	ruling, hint := d.Arrive(admission.Search{ID: s.ticket, Tenant: s.doorTenant(d), Client: s.client, Work: s.work,
+		Left: s.deadline - now, Repeat: s.repeat}, now)
+	switch ruling {
+	case admission.Enter:
+		s.inside, s.entered = true, now
+		return true
+	case admission.Wait:
+		s.queued = true
+		d.waiting[s.ticket] = s
+		l.tally.InHand++
+		l.ids[s.ask.id] = true
+	case admission.Turn:
+		l.tally.TurnedAway++
+		l.conclude(s, verdict{kind: shed, after: hint})
+	}
+	return false
+}
+
+func (s *search) doorTenant(d *doorway) int { return min(s.tenant, len(d.names)-1) }
+
+// doorTick lets in those that waited, or tells them when to come back; it returns when to come again.
+func (l *loop) doorTick(now time.Duration) time.Duration {
+	lets, next := l.door.Tick(now, l.lets[:0])
+	l.lets = lets
+	for _, let := range lets {
+		s := l.door.waiting[let.ID]
+		delete(l.door.waiting, let.ID)
+		s.queued = false
+		n := len(s.ask.parts)
+		switch {
+		case !let.Enter:
+			l.tally.TurnedAway++
+			l.endQueued(s, verdict{kind: shed, after: let.Hint})
+		case l.places+1+n > l.maxOpen:
+			s.inside, s.entered = true, now
+			l.tally.Full++
+			l.endQueued(s, verdict{kind: shed, after: l.comeBack})
+		default:
+			s.inside, s.entered = true, now
+			l.enter(s, s.deadline-now)
+		}
+	}
+	return next
+}
+
+// endQueued gives a search that waited at the door its verdict.
+func (l *loop) endQueued(s *search, v verdict) {
+	l.conclude(s, v)
+	l.tally.InHand--
+	delete(l.ids, s.ask.id)
+}
+
+// leaveDoor forgets a search that waits, as its client has gone or its time is over.
+func (l *loop) leaveDoor(s *search) {
+	l.door.Gone(s.doorTenant(l.door), s.ticket)
+	delete(l.door.waiting, s.ticket)
+	s.queued, s.over = false, true
+	l.tally.InHand--
+	delete(l.ids, s.ask.id)
+}
+
+// outside tells the door that a search which it let in has done; once.
+func (l *loop) outside(s *search, answered, refused bool) {
+	if s.inside {
+		s.inside = false
+		now := l.since()
+		l.door.Done(s.work, now-s.entered, answered, refused, now)
+	}
+}
+
+// DoorState is what operators see of the door.
+type DoorState struct {
+	admission.State
+	Names []string
+}
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -71,6 +71,7 @@
 	if !g.near.Offer(r, l.since()) {
 		return false
 	}
+	l.outside(s, false, true)
 	s.abroad = true
 	g.abroad[s.id] = s
 	l.places -= 1 + len(s.parts)
--- a/server/loop.go
+++ b/server/loop.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"flaxfront/broker"
+	"flaxfront/decide/admission"
 	"flaxfront/decide/trust"
 	"flaxfront/discovery"
 	"flaxfront/link"
@@ -31,6 +32,7 @@
 	timeout time.Duration
 	text    string
 	parts   []askPart
+	client  uint64 // a hash of the key that its client states; 0: none
 }
 
 type askPart struct {
@@ -54,6 +56,13 @@
 	risk    bool          // and may have run abroad
 	after   time.Duration // when the other side wants it back
 
+	// where there is fair queuing at the door
+	ticket  uint64
+	work    float64
+	queued  bool // it waits there
+	inside  bool // the door let it in, and has not been told that it is done
+	entered time.Duration
+
 	id    uint64 // as the module knows it; its parts have the numbers that follow
 	over  bool
 	parts []part
@@ -109,6 +118,7 @@
 type Tally struct {
 	Taken, Answered, Shed, Errored, Left, InHand uint64
 	Partial                                      uint64 // of those answered
+	TurnedAway                                   uint64 `json:",omitempty"` // of those shed: by the door
 	Full                                         uint64 // of those shed: no place or descriptor was left
 	Turns, Subrequests                           uint64
 	ListsTaken, ListsFailed                      uint64
@@ -116,6 +126,7 @@
 	Out, OutByModule, ShutOut                    int // parts out, on the wire and as the module counts; nodes it shuts out
 	Store                                        store.Counts
 	Trust                                        *trust.Counts `json:",omitempty"` // where a list is kept
+	Door                                         *DoorState    `json:",omitempty"` // where there is one
 	Gateway                                      *GatewayState `json:",omitempty"` // where there is one
 }
 
@@ -145,6 +156,8 @@
 	saved    *saved   // nil: no list is kept
 	gate     *gateway // nil: no other site is known
 	types    []broker.SearchType
+	door     *doorway // nil: first come, first served
+	lets     []admission.Let
 }
 
 // pictured is a module that tells what it takes to be so, to be held against the wire.
@@ -204,12 +217,18 @@
 	if l.gate != nil {
 		next = min(next, l.gateTick(now))
 	}
+	if l.door != nil {
+		next = min(next, l.doorTick(now))
+	}
 	if l.wake > 0 && l.wake <= now {
 		l.wake = 0
 		l.events = append(l.events, broker.Event{Kind: broker.Woken})
 	}
 	if len(l.events) > 0 {
 		l.turn(now)
+		if l.door != nil { // what has ended makes room
+			next = min(next, l.doorTick(now))
+		}
 	}
 	if len(l.events) > 0 { // such as the ends of what was called off
 		return now
@@ -234,6 +253,11 @@
 			} else {
 				l.tally.Left++
 			}
+			if d.s.queued {
+				l.leaveDoor(d.s)
+				return
+			}
+			l.outside(d.s, false, false)
 			if d.s.abroad {
 				l.gate.near.Gone(d.s.id)
 				l.routed()
@@ -264,6 +288,9 @@
 		if l.gate != nil {
 			t.Gateway = &GatewayState{l.gate.near.Counts, l.gate.far.Counts, l.gate.near.State(l.since())}
 		}
+		if l.door != nil {
+			t.Door = &DoorState{l.door.State(l.since()), l.door.names}
+		}
 		d.to <- t
 	}
 }
@@ -281,6 +308,9 @@
 		l.conclude(s, verdict{kind: shed, after: l.comeBack}) // the longest that the settings let it say
 		return
 	}
+	if l.door != nil && !s.foreign && !l.atDoor(s) {
+		return
+	}
 	l.tally.InHand++
 	l.ids[s.ask.id] = true
 	if l.gate != nil && !s.foreign {
@@ -449,6 +479,7 @@
 		l.tally.Errored++
 	}
 	s.over = true
+	l.outside(s, v.kind == answered, v.kind == shed)
 	if s.to != nil {
 		s.to(v)
 	} else {
--- a/server/server.go
+++ b/server/server.go
@@ -89,6 +89,11 @@
 	s.nodeList = discovery.NewClient(start.Discovery.String(), s.reader, t.AskEvery, s.list.Version, s.known,
 		func(list *discovery.List, err error) { s.deliver(listed{list, err}) })
 	s.loop.ask = s.nodeList.Ask
+	if file.Door.On {
+		if s.loop.door, err = newDoorway(&file.Door, t); err != nil {
+			return nil, err
+		}
+	}
 	return s, nil
 }
 
