Door: promises, eviction of the heaviest client, a probe of the baseline; flaxfront tenants

Change: a window lasts as long as its delays; the client that was given most gives way; the baseline is measured anew every 10 s at half the limit. Tests on sockets and in virtual time.

--- a/cmd/flaxfront/keys.go
+++ b/cmd/flaxfront/keys.go
@@ -137,6 +137,30 @@
 	return root
 }
 
+// countersOf asks a broker that runs for its counters, at an address or where its configuration says.
+func countersOf(config, at string) (c server.Counters, err error) {
+	if at == "" && config == "" {
+		return c, errNoConfig
+	}
+	if at == "" {
+		start, err := terms.ReadStart(config)
+		if err != nil {
+			return c, err
+		}
+		at = start.Listen.String()
+	}
+	client := &http.Client{Timeout: 3 * time.Second}
+	resp, err := client.Get("http://" + at + "/counters")
+	if err != nil {
+		return c, err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&c); err != nil {
+		return c, fmt.Errorf("%s: %w", at, err)
+	}
+	return c, nil
+}
+
 // sitesCommand asks a broker that runs for the state of its links.
 func sitesCommand(config *string) *cobra.Command {
 	var at string
@@ -145,29 +169,13 @@
 		Short: "Print the links of a broker that runs, and what went over them",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if at == "" {
-				if *config == "" {
-					return errNoConfig
-				}
-				start, err := terms.ReadStart(*config)
-				if err != nil {
-					return err
-				}
-				at = start.Listen.String()
-			}
-			client := &http.Client{Timeout: 3 * time.Second}
-			resp, err := client.Get("http://" + at + "/counters")
+			counters, err := countersOf(*config, at)
 			if err != nil {
 				return err
 			}
-			defer resp.Body.Close()
-			var counters server.Counters
-			if err := json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&counters); err != nil {
-				return fmt.Errorf("%s: %w", at, err)
-			}
 			g := counters.Searches.Gateway
 			if g == nil {
-				return fmt.Errorf("the broker at %s has no gateway", at)
+				return fmt.Errorf("the broker has no gateway: sites.keys is empty")
 			}
 			w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 8, 2, ' ', 0)
 			fmt.Fprintln(w, "LINK\tUP\tTAKES\tROUND TRIP\tANSWERS IN\tABROAD\tCREDIT\tROOM THERE\tHEARD\tSHUT FOR")
--- a/cmd/flaxfront/main.go
+++ b/cmd/flaxfront/main.go
@@ -63,6 +63,7 @@
 		nodesCommand(&config, &file),
 		keysCommand(&file),
 		sitesCommand(&config),
+		tenantsCommand(&config),
 		&cobra.Command{
 			Use:   "version",
 			Short: "Tell the version",
--- a/decide/admission/admission.go
+++ b/decide/admission/admission.go
@@ -31,7 +31,9 @@
 	slack     = 10 * time.Millisecond
 	fall      = 0.9
 	rise      = 0.05
-	creep     = 0.05 // the baseline rises so much a second, as a store may have become slower for good
+	probeEach = 10 * time.Second // then less is let in for a moment, and the delay it meets is the new baseline
+	probeAt   = 0.5              // of the limit
+	probeFor  = 3                // windows; the last one counts
 	rateFor   = time.Second
 	idleFor   = 10 * time.Second // a tenant that asked nothing for so long has no share
 	spread    = 0.2              // of a hint, drawn at random
@@ -73,6 +75,8 @@
 	asked    time.Duration // when it last asked
 	promised time.Duration // up to when its share is promised to those turned away
 	tokens   float64       // repeats that it may send
+	owed     float64       // promises whose time has not come
+	ripened  time.Duration
 	Counts   Counts
 }
 
@@ -88,6 +92,7 @@
 	policy  Policy
 	tenants []tenant
 	clients *Sketch
+	evicted []Let
 	virtual float64
 	inHand  float64 // work
 	limit   float64
@@ -97,6 +102,8 @@
 	begun    time.Duration // of the window
 	least    time.Duration // delay in it; 0: none seen
 	low      time.Duration // the baseline
+	probed   time.Duration // when the baseline is to be measured anew
+	probing  int           // windows of that which are left
 	short    bool          // somebody waited in the window
 	turned   bool          // the module shed in the window
 	finished float64       // work, decaying
@@ -144,15 +151,15 @@
 func (d *Door) Arrive(s Search, now time.Duration) (Ruling, time.Duration) {
 	t := &d.tenants[s.Tenant]
 	t.asked = now
-	busy := d.inHand+s.Work > d.limit && d.inHand >= d.policy.LeastWork
-	if s.Repeat {
-		t.Counts.Repeats++
-		if busy && t.tokens < 1 {
-			return d.turn(t, s, now)
-		}
-		t.tokens = max(0, t.tokens-1)
-	} else {
+	busy := d.inHand+s.Work > d.most() && d.inHand >= d.policy.LeastWork
+	d.ripen(t, s, now)
+	if !s.Repeat {
 		t.tokens = min(tokenMost, t.tokens+d.policy.Repeats)
+	} else if t.Counts.Repeats++; busy && t.tokens < 1 {
+		d.short = true
+		return d.turn(t, s, now)
+	} else {
+		t.tokens = max(0, t.tokens-1)
 	}
 	if !busy && len(t.queue) == 0 {
 		d.enter(t, s, now)
@@ -160,9 +167,17 @@
 	}
 	d.short = true
 	patience := time.Duration(d.policy.WaitShare * float64(s.Left))
-	expected := d.drain(t, t.queued, now)
-	if len(t.queue) >= d.policy.MostWait || expected > patience {
+	ahead, heaviest := d.ahead(t, s, now)
+	full := len(t.queue) >= d.policy.MostWait
+	switch {
+	case !s.Repeat && t.promised > now && d.drain(t, ahead, now) > patience/3: // the rest is for those who come when told
 		return d.turn(t, s, now)
+	case d.drain(t, ahead, now) > patience || full && heaviest < 0:
+		return d.turn(t, s, now)
+	case full: // the client that was given most gives way
+		_, hint := d.turn(t, t.queue[heaviest].Search, now)
+		d.evicted = append(d.evicted, Let{ID: t.queue[heaviest].ID, Hint: hint})
+		d.remove(t, heaviest)
 	}
 	t.queue = append(t.queue, waiting{s, now, now + patience})
 	t.queued += s.Work
@@ -170,6 +185,36 @@
 	return Wait, 0
 }
 
+// ahead is the work that waits before a search in its tenant's queue: that of clients that were given no more than its own.
+// The other result is the place of one whose client was given most, if that is more; else -1.
+func (d *Door) ahead(t *tenant, s Search, now time.Duration) (work float64, heaviest int) {
+	if s.Client == 0 {
+		return t.queued, -1
+	}
+	own, most := d.clients.Given(s.Client, now), 0.0
+	heaviest = -1
+	for j := range t.queue {
+		given := 0.0
+		if client := t.queue[j].Client; client != 0 {
+			given = d.clients.Given(client, now)
+		}
+		if given <= own {
+			work += t.queue[j].Work
+		} else if given > most {
+			most, heaviest = given, j
+		}
+	}
+	return work, heaviest
+}
+
+// ripen turns promises whose time has come into repeats that may come. Danger: clients that come back at once keep an
+// overload alive; without a bound on repeats they take the room of those who wait as told.
+func (d *Door) ripen(t *tenant, s Search, now time.Duration) {
+	ripe := min(t.owed, float64(now-t.ripened)/max(1, float64(d.drain(t, s.Work, now))))
+	t.ripened, t.owed = now, t.owed-ripe
+	t.tokens = min(tokenMost, t.tokens+ripe)
+}
+
 // drain is how long a tenant's share takes for some work.
 func (d *Door) drain(t *tenant, work float64, now time.Duration) time.Duration {
 	return time.Duration(work / (d.rate(now) * d.share(t, now)) * float64(time.Second))
@@ -185,7 +230,7 @@
 	t.promised = max(t.promised, now+d.drain(t, t.queued/2, now)) + d.drain(t, s.Work, now)
 	t.promised = min(t.promised, now+d.policy.MostHint)
 	hint := t.promised - now
-	t.tokens = min(tokenMost, t.tokens+1) // who comes back when told may
+	t.owed++
 	hint += time.Duration((d.chance() - 0.5) * spread * float64(hint))
 	return Turn, min(d.policy.MostHint, max(time.Millisecond, hint))
 }
@@ -215,6 +260,8 @@
 func (d *Door) Tick(now time.Duration, out []Let) (lets []Let, next time.Duration) {
 	d.adjust(now)
 	next = math.MaxInt64
+	out = append(out, d.evicted...)
+	d.evicted = d.evicted[:0]
 	for i := range d.tenants {
 		t := &d.tenants[i]
 		for j := 0; j < len(t.queue); j++ {
@@ -236,8 +283,8 @@
 		}
 		j := d.pick(t, now)
 		s := t.queue[j].Search
-		if d.inHand+s.Work > d.limit && d.inHand >= d.policy.LeastWork {
-			next = min(next, d.begun+window)
+		if d.inHand+s.Work > d.most() && d.inHand >= d.policy.LeastWork {
+			next = min(next, d.begun+d.period())
 			break
 		}
 		t.Counts.Waited++
@@ -267,7 +314,11 @@
 func (d *Door) pick(t *tenant, now time.Duration) int {
 	best, least := 0, math.Inf(1)
 	for j := range t.queue {
-		if given := d.clients.Given(t.queue[j].Client, now); given < least {
+		given := 0.0
+		if client := t.queue[j].Client; client != 0 {
+			given = d.clients.Given(client, now)
+		}
+		if given < least {
 			best, least = j, given
 		}
 	}
@@ -306,19 +357,38 @@
 	d.turned = d.turned || shed
 }
 
+// most is how much work may be in hand now.
+func (d *Door) most() float64 {
+	if d.probing > 0 {
+		return max(d.policy.LeastWork, probeAt*d.limit)
+	}
+	return d.limit
+}
+
+// period is how long a window lasts: no shorter than what is measured in it.
+func (d *Door) period() time.Duration { return max(window, min(d.least, time.Second)) }
+
 // adjust moves the limit once a window. The least delay in a window is what even the luckiest search met: if that stands
 // well over the baseline, or the module had to shed, a queue stands at the store, and less is let in. Where searches waited
 // here and it does not, more is.
 func (d *Door) adjust(now time.Duration) {
-	if now-d.begun < max(window, min(d.least, time.Second)) {
+	if now-d.begun < d.period() {
 		return
 	}
-	if d.least > 0 {
-		if d.low += time.Duration(creep * (now - d.begun).Seconds() * float64(d.low)); d.low == 0 || d.least < d.low {
+	if d.least > 0 && (d.low == 0 || d.least < d.low) {
+		d.low = d.least
+	}
+	// Danger: while a queue stands all the time no search meets the baseline, and one that has risen for good is never seen.
+	switch {
+	case d.probing > 0:
+		if d.probing--; d.probing == 0 && d.least > 0 {
 			d.low = d.least
 		}
+	case now >= d.probed:
+		d.probing, d.probed = probeFor, now+probeEach
 	}
 	switch queue := d.least > time.Duration(slower*float64(d.low))+slack; {
+	case d.probing > 0:
 	case queue || d.turned:
 		d.limit = max(d.policy.LeastWork, fall*d.limit)
 	case d.short:
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -250,16 +250,14 @@
 }
 
 // answers is a discovery that answers each call in turn by what it is given, then holds the next.
-func answers(t *testing.T, calls *[]string, bodies ...string) net.Conn {
+func answers(bodies ...string) net.Conn {
 	near, far := net.Pipe()
 	go func() {
 		in := httpwire.NewReader(far)
 		for _, body := range bodies {
-			m, err := httpwire.ReadRequest(in)
-			if err != nil {
+			if _, err := httpwire.ReadRequest(in); err != nil {
 				return
 			}
-			*calls = append(*calls, m.Path+"?"+m.Query)
 			if body == "" { // says nothing
 				io.Copy(io.Discard, far)
 				return
@@ -280,53 +278,52 @@
 func TestPaced(t *testing.T) {
 	whole := list(7, true, line("s-1", "10.0.0.1:80", "in_service", 0))
 	for what, c := range map[string]struct {
-		conns  func(t *testing.T, calls *[]string, n int) (net.Conn, error)
+		conns  func(n int) (net.Conn, error)
 		within time.Duration
 		told   string
 	}{
-		"down, then up": {func(t *testing.T, calls *[]string, n int) (net.Conn, error) {
+		"down, then up": {func(n int) (net.Conn, error) {
 			if n <= 20 {
 				return nil, io.ErrClosedPipe
 			}
-			return answers(t, calls, whole), nil
+			return answers(whole), nil
 		}, 7 * time.Second, "[failed 7127.0.0.1:1]"},
-		"silent, then well": {func(t *testing.T, calls *[]string, n int) (net.Conn, error) {
+		"silent, then well": {func(n int) (net.Conn, error) {
 			if n <= 2 {
-				return answers(t, calls, ""), nil
+				return answers(""), nil
 			}
-			return answers(t, calls, whole), nil
+			return answers(whole), nil
 		}, 5 * time.Second, "[failed 7127.0.0.1:1]"},
-		"jammed, then well": {func(t *testing.T, calls *[]string, n int) (net.Conn, error) {
+		"jammed, then well": {func(n int) (net.Conn, error) {
 			if n <= 2 {
-				return answers(t, calls, "jammed"), nil
+				return answers("jammed"), nil
 			}
-			return answers(t, calls, whole), nil
+			return answers(whole), nil
 		}, 2 * time.Second, "[failed 7127.0.0.1:1]"},
-		"nonsense, then well": {func(t *testing.T, calls *[]string, n int) (net.Conn, error) {
+		"nonsense, then well": {func(n int) (net.Conn, error) {
 			if n <= 2 {
-				return answers(t, calls, "{}"), nil
+				return answers("{}"), nil
 			}
-			return answers(t, calls, whole), nil
+			return answers(whole), nil
 		}, 2 * time.Second, "[failed 7127.0.0.1:1]"},
-		"well, then flapping to an older version": {func(t *testing.T, calls *[]string, n int) (net.Conn, error) {
+		"well, then flapping to an older version": {func(n int) (net.Conn, error) {
 			if n == 1 {
-				return answers(t, calls, whole, "jammed"), nil
+				return answers(whole, "jammed"), nil
 			}
 			if n == 2 {
-				return answers(t, calls, list(3, true)), nil
+				return answers(list(3, true)), nil
 			}
-			return answers(t, calls, list(3, true)), nil
+			return answers(list(3, true)), nil
 		}, 4 * time.Second, "[7127.0.0.1:1 failed 3127.0.0.1:1]"},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			var calls []string
-			got, stop := paced(t, func(n int) (net.Conn, error) { return c.conns(t, &calls, n) })
+			got, stop := paced(t, c.conns)
 			time.Sleep(c.within)
 			synctest.Wait()
 			stop()
 			synctest.Wait()
 			if fmt.Sprint(*got) != c.told {
-				t.Errorf("%s: told %v, calls %v", what, *got, calls)
+				t.Errorf("%s: told %v", what, *got)
 			}
 		})
 	}
@@ -335,7 +332,6 @@
 // A move, or the end, is not held up by the wait for a discovery that is down.
 func TestMoveWhileWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var calls []string
 		c := NewClient("127.0.0.1:1", reader(), 20*time.Second, 0, false, nil)
 		c.Pace(trust.NewPacer(trust.Pace{KnockEvery: 10 * time.Second, Brokers: 1}, 3), 0, false)
 		at := make(chan time.Duration, 4)
@@ -349,7 +345,7 @@
 			if addr == "127.0.0.1:1" {
 				return nil, io.ErrClosedPipe
 			}
-			return answers(t, &calls, list(3, true)), nil
+			return answers(list(3, true)), nil
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
--- /dev/null
+++ b/server/door_test.go
@@ -0,0 +1,124 @@
+package server
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"flaxfront/lab"
+	"flaxfront/operator"
+	"flaxfront/terms"
+)
+
+// doorSite is a broker with a door before slow nodes.
+func doorSite(t *testing.T) (s *Server, end func()) {
+	k := newKeeping(t, 4)
+	k.Pace(40 * time.Millisecond) // 200 parts a second
+	path, err := k.Config("n0", "127.0.0.1:0", k.Discovery.Addr(), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	start, err := terms.ReadStart(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := operator.Decode("f", []byte(`{"door": {"on": true, "weights": ["acme=0.2", "quiet=0.8"]}}`))
+	if err == nil {
+		s, err = New(start, file, module)
+	}
+	if err == nil {
+		err = s.Open()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, done, ended := make(chan struct{}), make(chan error, 1), false
+	go func() { done <- s.Run(stop) }()
+	end = func() {
+		if !ended {
+			ended = true
+			close(stop)
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	t.Cleanup(end)
+	return s, end
+}
+
+func doorLoad(s *Server, tenant string, rate float64, last time.Duration, seed uint64) *lab.Outcome {
+	return lab.Load{URL: "http://" + s.listener.Addr().String(), Class: "find", Tenant: tenant, Shards: 4, Widest: 2, Rate: rate,
+		For: last, Timeout: 1500 * time.Millisecond, Target: time.Second, Floor: 1, Seed: seed}.Run()
+}
+
+// One tenant floods: the other is served, each search has one answer, the books add up, and a planned stop with a full
+// queue loses nothing.
+func TestFloodAtTheDoor(t *testing.T) {
+	s, end := doorSite(t)
+	time.Sleep(200 * time.Millisecond)
+	var flood, quiet *lab.Outcome
+	var both sync.WaitGroup
+	both.Go(func() { flood = doorLoad(s, "acme", 800, 1500*time.Millisecond, 1) })
+	both.Go(func() { quiet = doorLoad(s, "quiet", 20, 1500*time.Millisecond, 2) })
+	both.Wait()
+	if quiet.Answered < quiet.Asked*9/10 || len(quiet.Broken)+len(flood.Broken) > 0 || flood.Shed == 0 || flood.Answered == 0 {
+		t.Errorf("quiet %v\nflood %v\n%v", quiet, flood, append(quiet.Broken, flood.Broken...))
+	}
+	c := s.Counters().Searches
+	if c.Taken != c.Answered+c.Shed+c.Errored+c.Left+c.InHand || c.InHand != 0 || c.TurnedAway == 0 || c.Door.InHand > 1e-6 {
+		t.Errorf("%+v, %+v", c, c.Door)
+	}
+	var last *lab.Outcome
+	both.Go(func() { last = doorLoad(s, "acme", 400, 300*time.Millisecond, 3) })
+	time.Sleep(310 * time.Millisecond)
+	end()
+	both.Wait()
+	if len(last.Broken) > 0 {
+		t.Errorf("%v, %v", last, last.Broken)
+	}
+}
+
+// Clients that go away while they wait leave nothing behind.
+func TestGoneWhileWaiting(t *testing.T) {
+	s, _ := doorSite(t)
+	var conns []net.Conn
+	body := `{"tablets":[{"tablet":0,"fraction":0.5},{"tablet":1,"fraction":0.5}],"statement":"c4"}`
+	for i := range 80 {
+		c, err := net.Dial("tcp", s.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "POST /find HTTP/1.1\r\nHost: b\r\nX-Request-ID: g%d\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 1900\r\nContent-Length: %d\r\n\r\n%s",
+			i, len(body), body)
+		conns = append(conns, c)
+	}
+	time.Sleep(20 * time.Millisecond)
+	for _, c := range conns {
+		c.Close()
+	}
+	(&keeping{t: t}).until("all are gone", func() bool {
+		c := s.Counters().Searches
+		waiting := 0
+		for _, n := range c.Door.Tenants {
+			waiting += n.Waiting
+		}
+		return c.Taken == 80 && c.InHand == 0 && waiting == 0 && c.Door.InHand < 1e-6 &&
+			c.Taken == c.Answered+c.Shed+c.Errored+c.Left
+	})
+}
+
+func TestWeights(t *testing.T) {
+	for text, want := range map[string]string{
+		"acme=0.5 quiet=0.5": "", "acme=0 quiet=1": "", "acme=0.5": "1 of 2 tenants", "acme=0.5 quiet=0.6": "add up to 1.1",
+		"acme=0.5 quite=0.5": "quite=0.5", "acme=0.5 acme=0.5": "named once", "acme=x quiet=1": "acme=x", "acme=-1 quiet=1": "acme=-1",
+	} {
+		err := weigh([]float64{0.3, 0.3}, []string{"acme", "quiet"}, strings.Fields(text))
+		if (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
