--- a/cmd/flaxlab/flood.go
+++ b/cmd/flaxlab/flood.go
@@ -44,6 +44,15 @@
 	return c
 }
 
+func queuesCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "queues",
+		Short: "Six ways to share a store between tenants under one flood, in virtual time",
+		Args:  cobra.NoArgs,
+		Run:   func(cmd *cobra.Command, _ []string) { lab.Queues(cmd.OutOrStdout()) },
+	}
+}
+
 func playFlood(out io.Writer, door string, conns int, last time.Duration) error {
 	dir, err := os.MkdirTemp("", "flaxlab")
 	if err != nil {
--- a/decide/admission/admission_test.go
+++ b/decide/admission/admission_test.go
@@ -441,3 +441,23 @@
 		b.ReportMetric(float64(most), "names")
 	})
 }
+
+// Ten tenants flood at once; two quiet ones keep their service.
+func TestTenFlooders(t *testing.T) {
+	weights := []float64{0.1, 0.1, 0.08, 0.08, 0.08, 0.08, 0.08, 0.08, 0.08, 0.08, 0.08, 0.08}
+	r := newRig(16, 40*ms, weights...)
+	all := make([]tally, 12)
+	for i := range all {
+		rate := 200.0
+		if i < 2 {
+			rate = 15
+		}
+		r.flow(i, rate, 2, 0, 15*time.Second, nobody, &all[i])
+	}
+	r.run(18 * time.Second)
+	for i := range 2 {
+		if all[i].answered*100 < all[i].asked*98 {
+			t.Errorf("quiet tenant %d: %+v", i, all[i])
+		}
+	}
+}
--- /dev/null
+++ b/lab/queues.go
@@ -0,0 +1,289 @@
+package lab
+
+// This file owns the comparison of ways to share a store between tenants, in virtual time, under one course of load.
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"flaxfront/decide/admission"
+)
+
+// sharing is one way: it rules on arrivals, and tells who may enter when something ends.
+type sharing interface {
+	arrive(s admission.Search, now time.Duration) admission.Ruling
+	done(work float64, took time.Duration, now time.Duration)
+	next(now time.Duration) (enter, turned []uint64)
+}
+
+const (
+	queueCores  = 16
+	queueMean   = 40 * time.Millisecond // 400 parts a second
+	queuePlaces = 128                   // parts in hand, where the limit is fixed
+)
+
+var queueWeights = []float64{0.5, 0.2, 0.1, 0.1, 0.1}
+
+// fixed is what the ways with a fixed limit share: queues by flow, of 64 searches that wait half a second at most.
+type fixed struct {
+	flow   func(tenant int) int
+	queues [][]waiter
+	inHand float64
+	choose func(f *fixed) int // which queue goes next; nil: nobody waits at all
+	tags   []float64
+	credit []float64
+	at     int
+	bucket []float64 // tokens, where there are any
+	filled time.Duration
+}
+
+type waiter struct {
+	admission.Search
+	until time.Duration
+}
+
+func (f *fixed) arrive(s admission.Search, now time.Duration) admission.Ruling {
+	if f.bucket != nil {
+		for i, w := range queueWeights {
+			f.bucket[i] = min(400*w, f.bucket[i]+400*w*(now-f.filled).Seconds())
+		}
+		if f.filled = now; f.bucket[s.Tenant] < s.Work {
+			return admission.Turn
+		}
+		f.bucket[s.Tenant] -= s.Work
+	}
+	flow := f.flow(s.Tenant)
+	if f.inHand+s.Work <= queuePlaces && (f.choose == nil || len(f.queues[flow]) == 0) {
+		f.inHand += s.Work
+		f.tags[flow] += s.Work / queueWeights[s.Tenant]
+		return admission.Enter
+	}
+	if f.choose == nil || len(f.queues[flow]) >= 64 {
+		return admission.Turn
+	}
+	f.queues[flow] = append(f.queues[flow], waiter{s, now + s.Left/4})
+	return admission.Wait
+}
+
+func (f *fixed) done(work float64, _, _ time.Duration) { f.inHand -= work }
+
+func (f *fixed) next(now time.Duration) (enter, turned []uint64) {
+	for i := range f.queues {
+		f.queues[i] = slices.DeleteFunc(f.queues[i], func(w waiter) bool {
+			if w.until <= now {
+				turned = append(turned, w.ID)
+			}
+			return w.until <= now
+		})
+	}
+	for f.choose != nil {
+		i := f.choose(f)
+		if i < 0 || f.inHand+f.queues[i][0].Work > queuePlaces {
+			return enter, turned
+		}
+		w := f.queues[i][0]
+		f.queues[i] = f.queues[i][1:]
+		f.inHand += w.Work
+		f.tags[i] += w.Work / queueWeights[w.Tenant]
+		enter = append(enter, w.ID)
+	}
+	return enter, turned
+}
+
+// deficit is deficit round robin (Shreedhar and Varghese, 1995).
+func deficit(f *fixed) int {
+	for range 4 * len(f.queues) {
+		if q := f.queues[f.at]; len(q) > 0 {
+			if f.credit[f.at] >= q[0].Work {
+				f.credit[f.at] -= q[0].Work
+				return f.at
+			}
+			f.credit[f.at] += 20 * queueWeights[q[0].Tenant]
+		} else {
+			f.credit[f.at] = 0
+		}
+		f.at = (f.at + 1) % len(f.queues)
+	}
+	return -1
+}
+
+// startTags is start-time fair queuing; tags of idle flows catch up with the least of those that wait.
+func startTags(f *fixed) int {
+	best := -1
+	for i := range f.queues {
+		if len(f.queues[i]) > 0 && (best < 0 || f.tags[i] < f.tags[best]) {
+			best = i
+		}
+	}
+	if best >= 0 {
+		for i := range f.tags {
+			f.tags[i] = max(f.tags[i], f.tags[best])
+		}
+	}
+	return best
+}
+
+func newFixed(flows int, flow func(int) int, choose func(*fixed) int) *fixed {
+	return &fixed{flow: flow, queues: make([][]waiter, flows), choose: choose, tags: make([]float64, flows), credit: make([]float64, flows)}
+}
+
+// door is the one that serves.
+type door struct{ *admission.Door }
+
+func (d door) arrive(s admission.Search, now time.Duration) admission.Ruling {
+	r, _ := d.Arrive(s, now)
+	return r
+}
+func (d door) done(work float64, took, now time.Duration) {
+	d.Done(work, took, took < 2*time.Second, false, now)
+}
+func (d door) next(now time.Duration) (enter, turned []uint64) {
+	lets, _ := d.Tick(now, nil)
+	for _, l := range lets {
+		if l.Enter {
+			enter = append(enter, l.ID)
+		} else {
+			turned = append(turned, l.ID)
+		}
+	}
+	return enter, turned
+}
+
+// Queues prints what each way does under a flood of twenty times one tenant's share, from 5 s to 25 s.
+func Queues(out io.Writer) {
+	self := func(t int) int { return t }
+	t := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "way\tquiet served\tp50\tp99\tflooder's parts a second\tstore used\tfair after\t")
+	for _, way := range []struct {
+		name string
+		make func() sharing
+	}{
+		{"first come, first served", func() sharing { return newFixed(5, self, nil) }},
+		{"token buckets", func() sharing { f := newFixed(5, self, nil); f.bucket = make([]float64, 5); return f }},
+		{"deficit round robin", func() sharing { return newFixed(5, self, deficit) }},
+		{"start-time fair queuing", func() sharing { return newFixed(5, self, startTags) }},
+		{"stochastic, 4 buckets", func() sharing { return newFixed(4, func(t int) int { return t * 7 % 4 }, startTags) }},
+		{"start-time and a found limit", func() sharing {
+			return door{admission.NewDoor(admission.Policy{Weights: queueWeights, WaitShare: 0.25, MostWait: 64, LeastWork: 8,
+				MostHint: 2 * time.Second, Repeats: 0.2, Seed: 7})}
+		}},
+	} {
+		playQueues(t, way.name, way.make())
+	}
+	t.Flush()
+}
+
+func playQueues(out io.Writer, name string, way sharing) {
+	var queue moments
+	var now time.Duration
+	rnd, seq, id := rand.New(rand.NewPCG(3, 4)), 0, uint64(0)
+	at := func(when time.Duration, do func()) {
+		seq++
+		heap.Push(&queue, moment{max(when, now), seq, do})
+	}
+	type held struct {
+		admission.Search
+		came time.Duration
+	}
+	cores, hand := make([]time.Duration, queueCores), map[uint64]held{}
+	asked, served, worked := make([]int, 5), make([]int, 5), make([]float64, 5)
+	var took []time.Duration
+	late := time.Duration(0) // the last time a quiet search was not served in the flood's first seconds
+	miss := func(h held) {
+		if h.Tenant > 0 && h.came > 5*time.Second && h.came < 25*time.Second {
+			late = max(late, h.came-5*time.Second)
+		}
+	}
+	var serve func(h held)
+	look := func() {
+		enter, turned := way.next(now)
+		for _, id := range turned {
+			miss(hand[id])
+			delete(hand, id)
+		}
+		for _, id := range enter {
+			serve(hand[id])
+		}
+	}
+	serve = func(h held) {
+		begun, last := now, now
+		for range int(h.Work) {
+			best := 0
+			for i := range cores {
+				if cores[i] < cores[best] {
+					best = i
+				}
+			}
+			cores[best] = max(now, cores[best]) + time.Duration((0.5+0.5*rnd.ExpFloat64())*float64(queueMean))
+			last = max(last, cores[best])
+		}
+		at(last, func() {
+			way.done(h.Work, now-begun, now)
+			delete(hand, h.ID)
+			if in := now - h.came; in < 2*time.Second && h.came > 5*time.Second && h.came < 25*time.Second {
+				served[h.Tenant]++
+				worked[h.Tenant] += h.Work
+				if h.Tenant > 0 {
+					took = append(took, in)
+				}
+			}
+			look()
+		})
+	}
+	for tenant, rate := range []float64{2000, 30, 15, 15, 15} { // of two parts each; the first has room for 100
+		from := time.Duration(0)
+		if tenant == 0 {
+			from = 5 * time.Second
+		}
+		var ask func()
+		ask = func() {
+			if now >= 25*time.Second {
+				return
+			}
+			id++
+			h := held{admission.Search{ID: id, Tenant: tenant, Work: 2, Left: 2 * time.Second}, now}
+			if now > 5*time.Second {
+				asked[tenant]++
+			}
+			hand[id] = h
+			switch way.arrive(h.Search, now) {
+			case admission.Enter:
+				serve(h)
+			case admission.Turn:
+				delete(hand, id)
+				miss(h)
+			}
+			at(now+time.Duration(rnd.ExpFloat64()/rate*float64(time.Second)), ask)
+		}
+		at(from, ask)
+	}
+	for when := time.Duration(0); when < 30*time.Second; when += 20 * time.Millisecond {
+		at(when, look)
+	}
+	for len(queue) > 0 {
+		m := heap.Pop(&queue).(moment)
+		now = m.at
+		m.do()
+	}
+	slices.Sort(took)
+	quiet, all, work := 0, 0, 0.0
+	for i := range asked {
+		if work += worked[i]; i > 0 {
+			quiet, all = quiet+served[i], all+asked[i]
+		}
+	}
+	q := func(p float64) time.Duration { return took[int(p*float64(len(took)-1))].Round(time.Millisecond) }
+	fair := "at once"
+	if late > 19*time.Second {
+		fair = "never"
+	} else if late > 0 {
+		fair = late.Round(10 * time.Millisecond).String()
+	}
+	fmt.Fprintf(out, "%s\t%.2f%%\t%v\t%v\t%.0f\t%.1f%%\t%s\t\n", name, 100*float64(quiet)/float64(all), q(0.5), q(0.99), worked[0]/20,
+		100*work/(400*20), fair)
+}
