--- a/decide/admission/admission_test.go
+++ b/decide/admission/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"flag"
 
 	"math"
 	"math/rand/v2"
@@ -11,6 +12,9 @@
 	"pgregory.net/rapid"
 )
 
+// The courses that are drawn are the same in each run; -rapid.seed given on the command line draws others.
+func init() { flag.Set("rapid.seed", "1") }
+
 const ms = time.Millisecond
 
 // rig is a door before a simulated store of some cores, in virtual time.
--- a/decide/routes/routes_test.go
+++ b/decide/routes/routes_test.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -11,6 +12,9 @@
 	"flaxfront/broker"
 )
 
+// The courses that are drawn are the same in each run; -rapid.seed given on the command line draws others.
+func init() { flag.Set("rapid.seed", "1") }
+
 const ms = time.Millisecond
 
 var policy = Policy{Share: 0.1, Burst: 3, MostAbroad: 4, LeastLeft: 50 * ms, Speak: 50 * ms, Resume: 300 * ms, Accept: 0.5,
--- a/decide/trust/trust_test.go
+++ b/decide/trust/trust_test.go
@@ -1,6 +1,7 @@
 package trust
 
 import (
+	"flag"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -12,6 +13,9 @@
 	"flaxfront/broker"
 )
 
+// The courses that are drawn are the same in each run; -rapid.seed given on the command line draws others.
+func init() { flag.Set("rapid.seed", "1") }
+
 const day = 24 * time.Hour
 
 var (
