--- a/decide/routes/far.go
+++ b/decide/routes/far.go
@@ -20,10 +20,12 @@
 	ID     uint64
 }
 
+// refusingFor is how long after an own search was turned away this side counts as refusing.
+const refusingFor = 500 * time.Millisecond
+
 // Load is the far side's own picture when a foreign search comes.
 type Load struct {
-	Places, Taken int  // in hand, own and foreign
-	Refusing      bool // own searches were turned away lately
+	Places, Taken int // in hand, own and foreign
 	Stopping      bool
 	Lacking       bool // no sound holder of one of its shards
 }
@@ -54,6 +56,7 @@
 	links   map[Origin]uint64 // the newest link of each near process
 	foreign int               // places that foreign searches take now
 	running int
+	shed    time.Duration            // when an own search was last turned away
 	ended   map[Origin]time.Duration // when the newest link of a near process ended
 	Counts  FarCounts
 }
@@ -84,6 +87,12 @@
 	}
 }
 
+// Shed takes it that an own search was turned away, though this side has holders for it.
+func (f *Far) Shed(now time.Duration) { f.shed = max(1, now) }
+
+// Refusing tells whether own searches were turned away lately.
+func (f *Far) Refusing(now time.Duration) bool { return f.shed > 0 && now-f.shed < refusingFor }
+
 // remember is how long after its client's time a search is still known: what crosses the link late must find it.
 const remember = 2 * time.Second
 
@@ -105,7 +114,7 @@
 		return Repeat
 	}
 	places := 1 + parts
-	if l.Refusing || l.Stopping || l.Lacking || left < f.policy.LeastLeft || len(f.known) >= f.policy.MostRemember ||
+	if f.Refusing(now) || l.Stopping || l.Lacking || left < f.policy.LeastLeft || len(f.known) >= f.policy.MostRemember ||
 		float64(f.foreign+places) > f.policy.Accept*float64(l.Places) || l.Taken+places > l.Places {
 		f.Counts.TurnedAway++
 		return Turn
@@ -159,8 +168,8 @@
 			heard[k.Origin] = true
 		}
 	}
-	for o, link := range f.links {
-		if !heard[o] && f.ended[o] > 0 && now-f.ended[o] > remember && link > 0 {
+	for o := range f.links {
+		if !heard[o] && f.ended[o] > 0 && now-f.ended[o] > remember {
 			delete(f.links, o) // its process will not come back over that link
 			delete(f.ended, o)
 		}
--- a/decide/routes/model_test.go
+++ b/decide/routes/model_test.go
@@ -141,7 +141,12 @@
 	if m.variant == "a far side that forgets" {
 		delete(m.far.known, k)
 	}
-	switch m.far.Arrive(k, conn, m.effect, 1, time.Second, Load{Places: 100, Refusing: full}, m.now) {
+	if full {
+		m.far.Shed(m.now)
+	} else {
+		m.far.shed = 0
+	}
+	switch m.far.Arrive(k, conn, m.effect, 1, time.Second, Load{Places: 100}, m.now) {
 	case Run:
 		if m.farRuns {
 			m.fault("rule 2: it is run a second time while it runs")
--- a/decide/routes/routes_test.go
+++ b/decide/routes/routes_test.go
@@ -182,7 +182,6 @@
 		want Ruling
 	}{
 		"room":                     {Load{Places: 100}, time.Second, Run},
-		"it refuses its own":       {Load{Places: 100, Refusing: true}, time.Second, Turn},
 		"it stops":                 {Load{Places: 100, Stopping: true}, time.Second, Turn},
 		"it lacks a shard":         {Load{Places: 100, Lacking: true}, time.Second, Turn},
 		"its own take the places":  {Load{Places: 100, Taken: 98}, time.Second, Turn},
@@ -193,6 +192,12 @@
 			t.Errorf("%s: %v", what, got)
 		}
 	}
+	busy := NewFar(policy)
+	busy.Shed(10 * ms)
+	if busy.Arrive(key(1), 1, broker.Idempotent, 2, time.Second, Load{Places: 100}, 500*ms) != Turn ||
+		busy.Arrive(key(1), 1, broker.Idempotent, 2, time.Second, Load{Places: 100}, 600*ms) != Run {
+		t.Error("its own searches do not come first, or for too long")
+	}
 	f := NewFar(policy)
 	roomy := Load{Places: 1000}
 	for id := range uint64(policy.MostRemember) {
--- a/decide/trust/judge.go
+++ b/decide/trust/judge.go
@@ -409,9 +409,6 @@
 // Failed takes it that discovery can't be asked: from here on entries age, and what nodes show counts.
 func (j *Judge) Failed() { j.told = false }
 
-// Told tells whether discovery spoke last.
-func (j *Judge) Told() bool { return j.told }
-
 // Tick weighs what came since the last time and returns what the decision module is to be told, and when to come again.
 func (j *Judge) Tick(now time.Duration) (facts []Fact, next time.Duration) {
 	if j.told || !j.fresh && !j.alike && now < j.due {
--- a/lab/live.go
+++ b/lab/live.go
@@ -103,20 +103,6 @@
 	return nil
 }
 
-// Restart makes the node cold, as if its process had just begun.
-func (n *Node) Restart() {
-	n.mu.Lock()
-	n.box.Began = time.Since(n.began)
-	n.mu.Unlock()
-}
-
-// Fell tells whether it was pushed over.
-func (n *Node) Fell() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.box.Fallen
-}
-
 // Ran tells how often a part ran here.
 func (n *Node) Ran(part string) int {
 	n.mu.Lock()
--- a/link/link.go
+++ b/link/link.go
@@ -40,7 +40,6 @@
 	Targets []Target
 	Post    func(Event)                                              // delivers to the loop; may wait
 	Dial    func(ctx context.Context, addr string) (net.Conn, error) // nil: TCP
-	Now     func() time.Time                                         // nil: time.Now
 	version [2]int                                                   // tests speak older ones
 }
 
--- a/operator/decode.go
+++ b/operator/decode.go
@@ -34,7 +34,7 @@
 
 // Decode reads the text of a file; path only names it in errors.
 func Decode(path string, raw []byte) (*File, error) {
-	f := &File{path: path, said: map[string]bool{}}
+	f := &File{said: map[string]bool{}}
 	if len(raw) > maxFile {
 		return nil, fmt.Errorf("operators' file: %s: %d bytes, %d at most", path, len(raw), maxFile)
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -19,7 +19,6 @@
 	Sites Sites `json:"sites" doc:"the gateway to other sites"`
 	Door  Door  `json:"door" doc:"fair queues by tenant and client"`
 
-	path string
 	said map[string]bool // the fields that the file names
 }
 
--- a/server/door_test.go
+++ b/server/door_test.go
@@ -9,45 +9,15 @@
 	"time"
 
 	"flaxfront/lab"
-	"flaxfront/operator"
-	"flaxfront/terms"
 )
 
 // doorSite is a broker with a door before slow nodes.
-func doorSite(t *testing.T) (s *Server, end func()) {
+func doorSite(t *testing.T) (s *Server, end func() error) {
 	k := newKeeping(t, 4)
 	k.Pace(40 * time.Millisecond) // 200 parts a second
 	path, err := k.Config("n0", "127.0.0.1:0", k.Discovery.Addr(), true)
-	if err != nil {
-		t.Fatal(err)
-	}
-	start, err := terms.ReadStart(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	file, err := operator.Decode("f", []byte(`{"door": {"on": true, "weights": ["acme=0.2", "quiet=0.8"]}}`))
-	if err == nil {
-		s, err = New(start, file, module)
-	}
-	if err == nil {
-		err = s.Open()
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	stop, done, ended := make(chan struct{}), make(chan error, 1), false
-	go func() { done <- s.Run(stop) }()
-	end = func() {
-		if !ended {
-			ended = true
-			close(stop)
-			if err := <-done; err != nil {
-				t.Error(err)
-			}
-		}
-	}
-	t.Cleanup(end)
-	return s, end
+	start, file := planned(t, path, err, `{"door": {"on": true, "weights": ["acme=0.2", "quiet=0.8"]}}`)
+	return running(t, start, file)
 }
 
 func doorLoad(s *Server, tenant string, rate float64, last time.Duration, seed uint64) *lab.Outcome {
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	sayEvery    = 200 * time.Millisecond // the status that heartbeats carry is made anew
-	refusingFor = 500 * time.Millisecond // after an own search was shed
-	slip        = 1e-4                   // sums of weights may fall so far short
+	sayEvery = 200 * time.Millisecond // the status that heartbeats carry is made anew
+	slip     = 1e-4                   // sums of weights may fall so far short
 )
 
 // gateway is the loop's part of it.
@@ -30,7 +29,6 @@
 	conns   []*link.Conn       // standing, by peer
 	abroad  map[uint64]*search // by the id that they had when they left
 	foreign map[routes.Key]*foreigner
-	shed    time.Duration // when an own search was last turned away, though this side had holders for it
 	next    time.Duration // when the status is made anew
 	stop    func() bool   // a planned stop is under way
 	lacking []int         // shards without a sound holder
@@ -66,7 +64,7 @@
 		lacking = lacking || slices.Contains(g.lacking, s.ask.parts[i].shard)
 	}
 	if !s.foreign && !lacking {
-		g.shed = l.since()
+		g.far.Shed(l.since())
 	}
 	if !g.near.Offer(r, l.since()) {
 		return false
@@ -260,7 +258,7 @@
 		c.Verdict(link.Verdict{ID: in.ID, Kind: link.Refused})
 		return
 	}
-	load := routes.Load{Places: l.maxOpen, Taken: l.places, Refusing: g.shed > 0 && now-g.shed < refusingFor, Stopping: g.stop(),
+	load := routes.Load{Places: l.maxOpen, Taken: l.places, Stopping: g.stop(),
 		Lacking: slices.ContainsFunc(a.parts, func(p askPart) bool { return slices.Contains(g.lacking, p.shard) })}
 	left := time.Duration(in.Left) * time.Microsecond
 	switch g.far.Arrive(k, c.Serial, l.types[a.typ].Effect, len(a.parts), left, load, now) {
@@ -359,7 +357,7 @@
 }
 
 func (g *gateway) status(l *loop, now time.Duration) link.Status {
-	return link.Status{Room: g.far.Room(l.maxOpen), Refusing: g.shed > 0 && now-g.shed < refusingFor, Stopping: g.stop(),
+	return link.Status{Room: g.far.Room(l.maxOpen), Refusing: g.far.Refusing(now), Stopping: g.stop(),
 		Lacking: slices.Clone(g.lacking)}
 }
 
--- a/server/gateway_test.go
+++ b/server/gateway_test.go
@@ -8,8 +8,6 @@
 
 	"flaxfront/keys"
 	"flaxfront/lab"
-	"flaxfront/operator"
-	"flaxfront/terms"
 )
 
 // twin is two sites on loopback with a wire from the first to the second.
@@ -20,7 +18,7 @@
 	at    [2]string // where each listens for the other
 	wire  *lab.Wire
 	live  [2]*Server
-	stop  [2]func()
+	stop  [2]func() error
 	audit *lab.Audit
 	loads uint64 // each brings searches of its own
 }
@@ -63,37 +61,9 @@
 	site, other := []string{"site-a", "site-b"}[i], []string{"site-b", "site-a"}[i]
 	text := fmt.Sprintf(`{"sites": {"keys": %q, "listen": %q, "allow": [%q], "targets": [%q], "share": 1, "burst": 500, "accept": 0.5}}`,
 		filepath.Join(w.dir, site), w.at[i], other, target)
-	file, err := operator.Decode("f", []byte(text))
-	if err != nil {
-		w.t.Fatal(err)
-	}
 	path, err := w.fleet[i].Config("n0", "127.0.0.1:0", w.fleet[i].Discovery.Addr(), true)
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	start, err := terms.ReadStart(path)
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	s, err := New(start, file, module)
-	if err == nil {
-		err = s.Open()
-	}
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	end, done, ended := make(chan struct{}), make(chan error, 1), false
-	go func() { done <- s.Run(end) }()
-	w.live[i], w.stop[i] = s, func() {
-		if !ended {
-			ended = true
-			close(end)
-			if err := <-done; err != nil {
-				w.t.Error(err)
-			}
-		}
-	}
-	w.t.Cleanup(w.stop[i])
+	start, file := planned(w.t, path, err, text)
+	w.live[i], w.stop[i] = running(w.t, start, file)
 }
 
 func (w *twin) until(what string, so func() bool) {
@@ -191,7 +161,9 @@
 	go func() {
 		defer close(ended)
 		time.Sleep(300 * time.Millisecond)
-		w.stop[1]()
+		if err := w.stop[1](); err != nil {
+			t.Error(err)
+		}
 	}()
 	if o := w.load(100, time.Second); o.Unanswered > 0 {
 		t.Error(o)
--- a/server/saved_test.go
+++ b/server/saved_test.go
@@ -37,40 +37,11 @@
 }
 
 // start runs a broker; its end is as by SIGTERM.
-func (k *keeping) start(known bool) (s *Server, end func()) {
+func (k *keeping) start(known bool) (s *Server, end func() error) {
 	k.t.Helper()
 	path, err := k.Config("n0", k.listen, k.Discovery.Addr(), known)
-	if err != nil {
-		k.t.Fatal(err)
-	}
-	start, err := terms.ReadStart(path)
-	if err != nil {
-		k.t.Fatal(err)
-	}
-	file, err := operator.Decode("f", fmt.Appendf(nil, `{"start": {"node_list": {"directory": %q, "save_every": "10ms"}}}`, k.dir))
-	if err != nil {
-		k.t.Fatal(err)
-	}
-	s, err = New(start, file, module)
-	if err == nil {
-		err = s.Open()
-	}
-	if err != nil {
-		k.t.Fatal(err)
-	}
-	stop, done, ended := make(chan struct{}), make(chan error, 1), false
-	go func() { done <- s.Run(stop) }()
-	end = func() {
-		if !ended {
-			ended = true
-			close(stop)
-			if err := <-done; err != nil {
-				k.t.Error(err)
-			}
-		}
-	}
-	k.t.Cleanup(end)
-	return s, end
+	start, file := planned(k.t, path, err, fmt.Sprintf(`{"start": {"node_list": {"directory": %q, "save_every": "10ms"}}}`, k.dir))
+	return running(k.t, start, file)
 }
 
 func (k *keeping) load(s *Server, last time.Duration) *lab.Outcome {
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -84,7 +84,13 @@
 // live runs a broker; end stops it as SIGTERM does and gives what Run returned.
 func live(t *testing.T, sockets int) (s *Server, end func() error) {
 	t.Helper()
-	s, err := New(startAt(t, "127.0.0.1:0", sockets), operator.Default(), module)
+	return running(t, startAt(t, "127.0.0.1:0", sockets), operator.Default())
+}
+
+// running is a broker of a configuration and an operators' file, until end or the test's.
+func running(t *testing.T, start *terms.Start, file *operator.File) (s *Server, end func() error) {
+	t.Helper()
+	s, err := New(start, file, module)
 	if err == nil {
 		err = s.Open()
 	}
@@ -99,12 +105,33 @@
 		}
 		ended = true
 		close(stop)
-		return <-done
+		err := <-done
+		if err != nil {
+			t.Error(err)
+		}
+		return err
 	}
 	t.Cleanup(func() { end() })
 	return s, end
 }
 
+// planned reads what the laboratory wrote for a broker, and the text of an operators' file.
+func planned(t *testing.T, path string, err error, operators string) (*terms.Start, *operator.File) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	start, err := terms.ReadStart(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := operator.Decode("f", []byte(operators))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return start, file
+}
+
 type caller struct {
 	net.Conn
 	t  *testing.T
--- a/state/nodelist/store.go
+++ b/state/nodelist/store.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"maps"
 	"path/filepath"
@@ -357,9 +356,3 @@
 
 // Held tells whether this process is the one that writes.
 func (s *Store) Held() bool { return s.held }
-
-// Status is one line on the writing.
-func (s *Store) Status() string {
-	return fmt.Sprintf("writes=%d snapshots=%d bytes=%d failed=%d", s.Counts.Writes.Load(), s.Counts.Snapshots.Load(),
-		s.Counts.Bytes.Load(), s.Counts.Failed.Load())
-}
