--- a/broker/broker.go
+++ b/broker/broker.go
@@ -60,6 +60,7 @@
 	Woken                           // a wake asked for came due
 	Left                            // ID: the client has gone
 	PeerSaid                        // From, Text
+	Probed                          // Node, Outcome, Took: a probe has ended
 )
 
 // Outcome tells how a sub-request ended.
@@ -110,6 +111,7 @@
 	Subscribe                       // ask for the list and its changes
 	Log                             // Text
 	Tell                            // Text: a message to all other brokers, which may be lost
+	Probe                           // Node: ask it for a sign of life; Probed tells what came
 )
 
 // Action is one thing the module wants done.
@@ -154,11 +156,14 @@
 	Types        []SearchType
 	Tenants      []Tenant
 	OverShare    float64 // what a search beyond its tenant's share is worth
+	ByWork       bool    // a search is worth its value times its work, not its value
 	Cells        int
 	Width        int
 	BatchParts   int
 
 	Cancels       bool
+	Probes        bool          // nodes may be probed
+	Idle          time.Duration // a connection that stood idle for so long is closed
 	SecondCopies  bool
 	MaxRetryAfter time.Duration // 0: clients are not told when to come back
 	MaxAttempts   int
--- a/lab/play/front.go
+++ b/lab/play/front.go
@@ -120,6 +120,7 @@
 }
 
 func (f *front) start() error {
+	f.sends, f.counts = nil, nil // a broker is counted from its start
 	for _, r := range f.w.plan.Restarts {
 		if r.Broker == f.n {
 			f.send(f.id, r.From, kKill, 0, 0, nil)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -51,7 +51,10 @@
 
 	none, later int32 = -1, -2 // no node for a part; none yet
 
-	scouts, wideShare, waryFor = 2, 2.0, 30 * time.Second // ahead; times its parts are all nodes; a tenant's
+	scouts, waryFor = 2, 30 * time.Second // ahead; a tenant's
+
+	tieBreak            = 0.01
+	vouchFor, vouchWait = 500 * time.Millisecond, 100 * time.Millisecond // a sign of life holds; is waited for
 )
 
 func (k *keeper) read(n *note) {
@@ -262,7 +265,11 @@
 	if s == nil {
 		return
 	}
-	s.deadline = l.now + min(s.typ.Target, e.Left) - margin
+	s.whole = l.now + min(s.typ.Target, e.Left) - margin
+	s.deadline = s.whole
+	if s.typ.Fetch > 0 { // the second step has to fit in
+		s.deadline -= min(d.p95, s.typ.Target/4)
+	}
 	s.last = l.now + e.Left - guardSteps*l.t.Step
 	// A repeat shorter than the usual try was cut by its client's timeout, which tells when it first asked.
 	usual := d.lengths[e.Type].vote(e.Left)
@@ -425,12 +432,12 @@
 // dispatch sends the parts of a new search, or refuses it.
 func (d *desk) dispatch(slot int32) {
 	l, s := d.l, &d.slab[slot]
-	if s.sent = true; l.now >= s.last || d.refuse(s) {
+	if s.sent = true; l.now >= s.last || !s.stage2 && d.refuse(s) {
 		d.giveUp(slot)
 		return
 	}
-	wide := wideShare*float64(len(s.parts)) > float64(len(l.byID))
-	s.scout = len(s.parts) > scouts && (wide || l.now < d.wary[s.tenant%len(d.wary)])
+	s.scout = len(s.parts) > scouts && l.now < d.wary[s.tenant%len(d.wary)]
+	d.ask(s)
 	d.launch(s)
 	d.settle(slot)
 }
@@ -465,8 +472,12 @@
 	if d.over(s.tenant) {
 		value *= l.t.OverShare
 	}
-	d.value, d.parts = d.value+meanStep*(value-d.value), d.parts+meanStep*(float64(len(s.parts))-d.parts)
-	bias := math.Pow(d.value/d.parts*float64(len(s.parts))/max(value, 0.01*d.value), worthBias)
+	parts := float64(len(s.parts))
+	if l.t.ByWork {
+		parts = 1 // its value is that of each part
+	}
+	d.value, d.parts = d.value+meanStep*(value-d.value), d.parts+meanStep*(parts-d.parts)
+	bias := math.Pow(d.value/d.parts*parts/max(value, 0.01*d.value), worthBias)
 	left := s.deadline - l.now - s.spent
 	if left <= 0 { // its target has passed: it gives way to those that can still earn their full value
 		left = (s.last - l.now) / lateWeight
@@ -547,19 +558,12 @@
 	return r.fast > max(q.Quota/float64(l.t.Brokers), overRate*q.Portion*d.total.usual(l.now))
 }
 
-// ride finds the node to which another part of the search, held by the same nodes, goes this turn, or
-// picks one.
+// ride finds a call of this turn that can take another part, or picks a node.
 func (d *desk) ride(s *search, i int) int32 {
-	riders := 1
-	for j := i - 1; j >= 0; j-- {
-		if p := &s.parts[j]; (p.shard-s.parts[i].shard)%d.l.t.Cells == 0 && p.live > 0 {
-			if riders++; riders > d.l.t.BatchParts {
-				break
-			}
-			at, now := p.tries[0].node, p.tries[0].at == d.l.now
-			if b := &d.board[at]; b.mode == fit && (b.eased == 0 || now) {
-				return at
-			}
+	for _, at := range d.holding(s.parts[i].shard) {
+		b := &d.board[at]
+		if n := len(b.calls); n > 0 && b.calls[n-1].at == d.l.now && b.calls[n-1].parts < d.l.t.BatchParts && b.mode == fit {
+			return at
 		}
 	}
 	return d.pick(s, &s.parts[i], true, false)
@@ -583,6 +587,11 @@
 			full = true
 			continue
 		}
+		stale := l.t.Probes && l.now-b.vouched > vouchFor
+		if stale && first && l.now < s.asked+vouchWait {
+			full = true
+			continue
+		}
 		due := b.mode == trial && first && s.typ.Effect == broker.Idempotent
 		if b.mode <= trial && !due {
 			little := len(b.calls) < 2 || l.now-b.last >= darkPace
@@ -595,13 +604,19 @@
 		if d.zones[b.zone].shunned {
 			slow = limpMost
 		}
+		if stale {
+			slow = limpMost
+		}
 		cost := slow * float64(len(b.calls)+1)
 		if b.share < 1 && cost == 1 {
 			cost = 0 // what is due to a cold node goes first: many small rations left unused are none
 		}
-		if len(b.calls) == 0 && slow > 1 && l.rand() < math.Pow(slow, float64(1-d.warms[b.cell%l.t.Cells])) {
+		if len(b.calls) == 0 && slow > 1 && l.rand() < math.Pow(slow, float64(1-d.like(p.shard))) {
 			cost = 1 // where all are idle, a limping node gets fewer parts the more like it there are
 		}
+		if b.talked == 0 || l.now-b.talked >= l.t.Idle {
+			cost += tieBreak // a connection would have to be opened
+		}
 		switch {
 		case best < 0 || cost < least:
 			best, least, ties = i, cost, 1
@@ -620,6 +635,35 @@
 	return best
 }
 
+// ask probes the holders of a search's parts that have not shown a sign of life lately. Danger: what a broker
+// with little traffic knows of a node is older than most troubles, and a search of many parts meets each of them.
+// Its parts wait a moment for a holder that answers. It may hurt by a probe a part.
+func (d *desk) ask(s *search) {
+	l := d.l
+	if !l.t.Probes {
+		return
+	}
+	s.asked = l.now
+	for i := range s.parts {
+		for _, at := range d.holding(s.parts[i].shard) {
+			if b := &d.board[at]; b.mode != gone && !b.probing && l.now-b.vouched > vouchFor {
+				b.probing = true
+				l.out = append(l.out, broker.Action{Kind: broker.Probe, Node: b.id})
+			}
+		}
+	}
+}
+
+// probed takes a probe's end.
+func (d *desk) probed(e *broker.Event) {
+	if at, known := d.l.byID[e.Node]; known {
+		b := &d.board[at]
+		if b.probing = false; e.Outcome == broker.OK {
+			b.vouched = max(b.vouched, d.l.now-e.Took)
+		}
+	}
+}
+
 // weigh adds an outcome to the record of a node's zone. Danger: a data centre that can't be reached, or is
 // sick as a whole, would have to be found out node by node. While most of what goes to it fails, and not so
 // in another, its nodes count as limping. It may hurt where chance gathers the sick nodes in one zone.
@@ -759,7 +803,7 @@
 				continue
 			}
 		} else {
-			if p.copied || !inTime || !t.SecondCopies || s.typ.Effect != broker.Idempotent || p.live > 1 {
+			if p.copied || !inTime || !t.SecondCopies || !d.mayCopy(s, p) || p.live > 1 {
 				continue
 			}
 			a := p.tries[len(p.tries)-1]
@@ -800,16 +844,17 @@
 	return !p.mayRun || effect == broker.Idempotent || effect == broker.Tokened && inWindow
 }
 
+// mayCopy tells whether a part that is still out may be sent once more (rule 2).
+func (d *desk) mayCopy(s *search, p *part) bool {
+	inWindow := d.l.now <= p.tries[0].at+s.typ.Window && (!p.mayRun || d.l.now <= p.firstRisk+s.typ.Window)
+	return s.typ.Effect == broker.Idempotent || s.typ.Effect == broker.Tokened && inWindow
+}
+
 // inBudget keeps rule 6: further sub-requests in the window, this one included.
 func (d *desk) inBudget() bool {
 	t := d.l.t
 	bound := d.l.now - t.ExtraWindow
 	d.asks, d.extras = trim(d.asks, bound), trim(d.extras, bound-t.Step)
 	most := t.ExtraFloor + t.ExtraShare*float64(len(d.asks))
-	// Danger: a broker that has just started does not know what it sent in the window before, and the window counts it.
-	// Until one has passed nothing further is sent. It may hurt a first start, when there was none before.
-	if d.l.now < t.ExtraWindow {
-		return false
-	}
 	return t.ExtraWindow == 0 || float64(len(d.extras)+1) <= most
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -26,6 +26,8 @@
 	rest     time.Duration // eased in, and it did not answer: nothing until then
 	lot      float64       // its place in the time over which brokers spread their first calls
 	proved   time.Duration // when the latest call that it answered was sent
+	vouched  time.Duration // when the latest probe or part that it answered was sent
+	probing  bool          // a probe is out
 	talked   time.Duration // when something last passed between here and it
 	calls    []call        // out, oldest first
 }
@@ -69,11 +71,13 @@
 	tenant   int
 	expect   int
 	spent    time.Duration // of the client's time before this try, where that shows
-	deadline time.Duration
+	deadline time.Duration // of this step
+	whole    time.Duration // of all steps
 	last     time.Duration
 	got      float64
 	scout    bool          // some parts are sent ahead of the others
-	held     bool          // some parts wait for a node that is eased in
+	held     bool          // some parts wait for a node that is eased in, or for a probe
+	asked    time.Duration // when the holders of its parts were probed; 0: they were not
 	in       int           // parts answered
 	broke    int           // sub-requests that broke their connection
 	calm     bool          // only time can change anything of it
@@ -155,6 +159,7 @@
 		d.widen(&d.board[at], e)
 		if e.Outcome == broker.OK {
 			d.board[at].proved = max(d.board[at].proved, d.l.now-e.Took)
+			d.board[at].vouched = max(d.board[at].vouched, d.l.now-e.Took)
 		}
 		d.unload(&d.board[at], d.l.now-e.Took)
 		d.l.post(&d.l.nodes[at].box, note{kind: ended, outcome: e.Outcome, took: e.Took})
@@ -430,6 +435,20 @@
 	return d.holders
 }
 
+// holds tells whether nodes of the cell hold the shard.
+func (d *desk) holds(cell, shard int) bool {
+	cells := d.l.t.Cells
+	return ((cell-shard)%cells+cells)%cells < d.l.t.Width
+}
+
+// like is how many nodes neither cold nor distrusted hold a shard.
+func (d *desk) like(shard int) (n int) {
+	for j := range d.l.t.Width {
+		n += d.warms[(shard+j)%d.l.t.Cells]
+	}
+	return n
+}
+
 // load is how many calls this broker has out at a usable node of the cell, on average.
 func (d *desk) load(cell int) float64 {
 	calls, usable := 0, 0
@@ -510,6 +529,8 @@
 			d.addPart(n.ev)
 		case broker.Ended:
 			d.ended(n.ev)
+		case broker.Probed:
+			d.probed(n.ev)
 		case broker.Left:
 			if r, ok := d.find(n.ev.ID); ok && r.part < 0 {
 				d.drop(r.slot)
@@ -538,7 +559,7 @@
 			l.byID[e.Node] = at
 			l.nodes[at] = &node{l: l, at: at, id: e.Node, boot: broker.NoBoot, trusted: true, slow: 1}
 			l.nodes[at].box.to = l.nodes[at]
-			l.desk.board[at] = seat{id: e.Node, zone: e.Zone, slow: 1, share: 1}
+			l.desk.board[at] = seat{id: e.Node, zone: e.Zone, slow: 1, share: 1, vouched: -time.Hour}
 			for len(l.desk.zones) <= e.Zone {
 				l.desk.zones = append(l.desk.zones, zone{})
 			}
@@ -654,6 +675,7 @@
 		d.clearParts(s)
 		d.places -= s.expect
 		s.stage2, s.whole1, s.sent, s.got, s.expect = true, whole, false, 0, 0
+		s.deadline = s.whole
 		return
 	}
 	d.drop(slot)
@@ -726,7 +748,7 @@
 		case p.done || p.dead:
 		case p.live == 0:
 			return
-		case p.live == 1 && !p.copied && d.l.t.SecondCopies && s.typ.Effect == broker.Idempotent && len(p.tries) < d.l.t.MaxAttempts:
+		case p.live == 1 && !p.copied && d.l.t.SecondCopies && s.typ.Effect != broker.NonIdempotent && len(p.tries) < d.l.t.MaxAttempts:
 			s.oldest = min(s.oldest, p.tries[len(p.tries)-1].at)
 		}
 	}
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -239,6 +239,8 @@
 		BatchParts:   max(1, p.count("domain.partsACall", false, 1)),
 
 		Cancels:       p.flag("permissions.cancel"),
+		Probes:        p.flag("permissions.probes") && !p.sockets, // no form on sockets yet
+		Idle:          f.Idle,
 		SecondCopies:  p.flag("permissions.secondCopies"),
 		MaxRetryAfter: p.span("permissions.maxRetryAfterNs", false),
 		MaxAttempts:   p.count("permissions.maxAttempts", true, 0),
@@ -253,6 +255,13 @@
 		ExtraShare:  p.num("safety.furtherRatio", false, 0),
 		ExtraWindow: p.span("safety.lookBackNs", false),
 	}
+	switch by := p.text("countedBy", false); by {
+	case "work":
+		t.ByWork = true
+	case "", "request":
+	default:
+		p.fail("countedBy", "unknown form %q", by)
+	}
 	if !p.flag("permissions.retryAfter") {
 		t.MaxRetryAfter = 0
 	}
--- a/terms/terms_test.go
+++ b/terms/terms_test.go
@@ -33,6 +33,7 @@
 domain.slices=9
 domain.width=1
 permissions.cancel=true
+permissions.connIdleNs=30000000000
 permissions.maxAttempts=4
 permissions.maxOpen=146
 permissions.maxRetryAfterNs=2000000000
