--- a/logic/actors.go
+++ b/logic/actors.go
@@ -17,6 +17,7 @@
 	standing                 // desk: node's mode and cold share changed
 	listed                   // node, desk: a list line
 	sent                     // node: a part went to it
+	vouched                  // node: it answered a probe
 	ended                    // node: outcome, took
 	rumour                   // node: a peer tells that it is sick, or well again
 	tick                     // node: took is how long its oldest part is out (0: none), calls how many calls
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -54,7 +54,7 @@
 	scouts, waryFor = 2, 30 * time.Second // ahead; a tenant's
 
 	tieBreak            = 0.01
-	vouchFor, vouchWait = 500 * time.Millisecond, 100 * time.Millisecond // a sign of life holds; is waited for
+	vouchFor, vouchWait = 500 * time.Millisecond, 200 * time.Millisecond // a sign of life holds; is waited for
 )
 
 func (k *keeper) read(n *note) {
@@ -106,6 +106,8 @@
 		if n.heardOf = now; n.rumour >= rumourMany {
 			n.slow = limpMost
 		}
+	case vouched:
+		n.downed = false // it can be reached, whatever it does with a part
 	case sent:
 		if !n.trusted {
 			if n.trying { // the trial before this one was never answered
@@ -291,7 +293,7 @@
 		}
 		p.done, s.got, s.in = true, s.got+p.weight, s.in+1
 		d.record(e.Took)
-		d.heed(a, e.Took)
+		d.heed(p, a, e.Took)
 		d.cancel(p)
 		return
 	case broker.Refused, broker.ConnectFailed, broker.NeverSent:
@@ -305,14 +307,15 @@
 	}
 	// Danger: more answers get lost, in any way, than the cap pays for, and searches die of it while nodes idle.
 	// Where the set is not crowded, what broke makes good its own resend. It may hurt where the search harms.
-	if e.Outcome != broker.Refused && !d.crowded(a.node) {
+	if e.Outcome != broker.Refused && !d.crowded(p) {
 		d.tokens, p.resent = min(capDepth, d.tokens+1), false
 	}
 }
 
-// crowded tells whether all, or the set of a node, is slow.
-func (d *desk) crowded(at int32) bool {
-	return max(float64(d.p50), d.fresh(d.setOf(at).took, d.setOf(at).at)) > crowdMost*float64(d.base)
+// crowded tells whether all, or the nodes that hold a part, are slow.
+func (d *desk) crowded(p *part) bool {
+	k := d.setOf(p.shard)
+	return max(float64(d.p50), d.fresh(k.took, k.at)) > crowdMost*float64(d.base)
 }
 
 // stale learns of connections cut while they idle. Danger: the next part breaks, or is lost without a word:
@@ -336,10 +339,12 @@
 	}
 }
 
-// heed teaches a set's record the latency of a sub-request to one of its nodes.
-func (d *desk) heed(a *attempt, took time.Duration) {
-	k := d.setOf(a.node)
-	step := max(loadStep, 1-kept(d.l.now-k.at, loadFade))
+// heed teaches the record of a part's holders the latency of a sub-request to one of them.
+func (d *desk) heed(p *part, a *attempt, took time.Duration) {
+	k := d.setOf(p.shard)
+	was := k.at
+	k.of, k.took = d.fresh(k.of, k.at), d.fresh(k.took, k.at) // one latency after a long time is no crowd
+	step := min(0.35, max(loadStep, 1-kept(d.l.now-was, loadFade)))
 	k.of += step * (float64(took)/(a.load+1) - k.of)
 	k.took, k.at = k.took+step*(float64(took)-k.took), d.l.now
 }
@@ -352,8 +357,8 @@
 	}
 	if p.done {
 		d.record(age)
-	} else if float64(age) > d.setOf(a.node).took {
-		d.heed(a, age)
+	} else if float64(age) > d.setOf(p.shard).took {
+		d.heed(p, a, age)
 	}
 }
 
@@ -361,7 +366,9 @@
 func (d *desk) record(took time.Duration) {
 	if s := d.keep(took); len(s) >= fewSamples {
 		d.p50, d.p95 = s[len(s)/2], s[int(copyQuantile*float64(len(s)))]
-		d.base = min(d.p50, time.Duration(baseCreep*float64(d.base)))
+		if d.base = min(d.p50, time.Duration(baseCreep*float64(d.base))); d.taken < fewSamples+redraw {
+			d.base = d.p50 // the first ones drawn
+		}
 	}
 }
 
@@ -492,7 +499,7 @@
 		}
 		x := float64(d.p50) * scale
 		if at >= 0 {
-			x = d.wait(at) * scale
+			x = d.wait(p, at) * scale
 		}
 		worst = max(worst, x)
 		if p.dead = x > bar; !p.dead {
@@ -506,15 +513,15 @@
 	return share < s.typ.Floor-eps
 }
 
-// wait is the latency expected of a part sent to a node: by its set's record, and no less than what the
-// second oldest of its calls has waited (the oldest may be stuck alone).
-func (d *desk) wait(at int32) float64 {
-	b, k := &d.board[at], d.setOf(at)
+// wait is the latency expected of a part sent to a node: by the record of its holders, and no less than what the
+// second oldest of the node's calls has waited (the oldest may be stuck alone).
+func (d *desk) wait(p *part, at int32) float64 {
+	b, k := &d.board[at], d.setOf(p.shard)
 	age := time.Duration(0)
 	if owed := b.owed(); len(owed) > 0 && b.mode >= cold { // a trial is taken all the same
 		age = d.l.now - owed[min(1, len(owed)-1)].at
 	}
-	return max(d.fresh(k.of, k.at)*(d.load(b.cell)+1), float64(age))
+	return max(d.fresh(k.of, k.at)*(d.load(p.shard)+1), float64(age))
 }
 
 // owed are the calls that the node may still answer in its turn. Danger: what a node swallowed while it hung is out until its
@@ -539,9 +546,11 @@
 // (danger: in a crowded set all nodes look sick, and shutting some crowds the others).
 func (l *Logic) usual(n *node) time.Duration {
 	sum, like := time.Duration(0), time.Duration(0)
-	for _, at := range l.desk.cells[n.cell%l.t.Cells] {
-		if o := l.nodes[at]; o != n && o.told.mode == fit {
-			sum, like = sum+o.lat, like+1
+	for j := 1 - l.t.Width; j < l.t.Width; j++ {
+		for _, at := range l.desk.cells[((n.cell+j)%l.t.Cells+l.t.Cells)%l.t.Cells] {
+			if o := l.nodes[at]; o != n && o.told.mode == fit {
+				sum, like = sum+o.lat, like+1
+			}
 		}
 	}
 	return max(l.desk.p50, sum/max(1, like))
@@ -660,6 +669,7 @@
 		b := &d.board[at]
 		if b.probing = false; e.Outcome == broker.OK {
 			b.vouched = max(b.vouched, d.l.now-e.Took)
+			d.l.post(&d.l.nodes[at].box, note{kind: vouched})
 		}
 	}
 }
@@ -786,7 +796,7 @@
 	}
 	suspect := s.broke > s.in && !d.alike
 	out := suspect && slices.ContainsFunc(s.parts, func(p part) bool { return p.live > 0 })
-	over := suspect && !out && (s.broke > s.in+1 || s.scout)
+	over := suspect && !out && (s.broke > s.in+1 || s.scout) || d.beyond(s)
 	for i := range s.parts {
 		p := &s.parts[i]
 		if p.done || p.dead {
@@ -813,7 +823,7 @@
 			}
 			// Danger: copies made while a whole set, or everything, is slow join the crowd they flee from.
 			// Then only those from distrusted nodes go. It may hurt where half the nodes of a set turn slow.
-			if known && d.board[a.node].mode >= cold && d.crowded(a.node) {
+			if known && d.board[a.node].mode >= cold && d.crowded(p) {
 				due = max(due, l.now+poll)
 			}
 			if due > l.now {
@@ -828,7 +838,7 @@
 				continue
 			}
 		}
-		if at >= 0 && d.tokens >= 1 && l.now+time.Duration(d.wait(at)) <= s.deadline && d.inBudget() {
+		if at >= 0 && d.tokens >= 1 && l.now+time.Duration(d.wait(p, at)) <= s.deadline && d.inBudget() {
 			d.spend()
 			p.resent, p.copied = p.resent || p.live == 0, p.copied || p.live > 0
 			d.send(p, at)
@@ -850,6 +860,34 @@
 	return s.typ.Effect == broker.Idempotent || s.typ.Effect == broker.Tokened && inWindow
 }
 
+// beyond tells whether a search lacks more parts than the budget lets be sent again in time. Danger: what is left of
+// it goes to searches that fail all the same, and their clients ask again too late.
+func (d *desk) beyond(s *search) bool {
+	if d.l.t.ExtraWindow == 0 {
+		return false
+	}
+	lost, weight := 0.0, 0.0
+	for i := range s.parts {
+		if p := &s.parts[i]; !p.done && !p.dead && p.live == 0 && len(p.tries) > 0 {
+			lost, weight = lost+1, weight+p.weight
+		}
+	}
+	_, least := s.wants()
+	have := d.afford(s.deadline)
+	return lost > have && s.got+s.open()-weight*(1-have/lost) < least-eps
+}
+
+// afford is how many further sub-requests the budget leaves by a time.
+func (d *desk) afford(by time.Duration) float64 {
+	t, spent := d.l.t, 0
+	for _, at := range d.extras {
+		if at > by-t.ExtraWindow {
+			spent++
+		}
+	}
+	return t.ExtraFloor + t.ExtraShare*float64(len(d.asks)) - float64(spent)
+}
+
 // inBudget keeps rule 6: further sub-requests in the window, this one included.
 func (d *desk) inBudget() bool {
 	t := d.l.t
--- a/logic/lost_test.go
+++ b/logic/lost_test.go
@@ -38,7 +38,7 @@
 	lost := len(at().calls)
 	must(t, at().mode == fit && at().slow == 1, "mode %v, counts as %v after it answered again", at().mode, at().slow)
 	must(t, lost > 0 && len(at().owed()) == 0, "%d calls out, %d owed", lost, len(at().owed()))
-	must(t, r.l.desk.wait(0) < float64(200*ms), "expected wait %v", time.Duration(r.l.desk.wait(0)))
+	must(t, r.l.desk.wait(&part{}, 0) < float64(200*ms), "expected wait %v", time.Duration(r.l.desk.wait(&part{}, 0)))
 	must(t, r.bad == "", "%s", r.bad)
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -190,7 +190,7 @@
 	}
 	b.talked = now
 	d.stirred.set(at)
-	p.tries = append(p.tries, attempt{node: at, live: true, at: now, load: d.load(b.cell), idle: idle})
+	p.tries = append(p.tries, attempt{node: at, live: true, at: now, load: d.load(p.shard), idle: idle})
 	p.live++
 	if n := len(b.calls); n > 0 && b.calls[n-1].at == now && b.calls[n-1].parts < d.l.t.BatchParts {
 		b.calls[n-1].parts++
@@ -449,10 +449,10 @@
 	return n
 }
 
-// load is how many calls this broker has out at a usable node of the cell, on average.
-func (d *desk) load(cell int) float64 {
+// load is how many calls this broker has out at a usable holder of the shard, on average.
+func (d *desk) load(shard int) float64 {
 	calls, usable := 0, 0
-	for _, i := range d.cells[cell%d.l.t.Cells] {
+	for _, i := range d.holding(shard) {
 		if b := &d.board[i]; b.mode >= cold {
 			usable++
 			calls += len(b.owed())
@@ -474,15 +474,15 @@
 	return r, ok && d.slab[r.slot].gen == r.gen
 }
 
-// slope is a cell's latency over (calls out a node + 1), as learned up to a time.
+// slope is the latency of the holders of a shard over (calls out a node + 1), as learned up to a time.
 type slope struct {
 	of   float64
 	took float64 // latency alone
 	at   time.Duration
 }
 
-// setOf is the record of the set of nodes that a node is in.
-func (d *desk) setOf(at int32) *slope { return &d.slopes[d.board[at].cell%d.l.t.Cells] }
+// setOf is the record of the nodes that hold a shard.
+func (d *desk) setOf(shard int) *slope { return &d.slopes[shard%d.l.t.Cells] }
 
 // tally counts a node in or out of those that are neither cold nor distrusted.
 func (d *desk) tally(b *seat, by int) {
