--- a/logic/logic.go
+++ b/logic/logic.go
@@ -362,12 +362,13 @@
 	}
 }
 
-// record keeps a latency and, now and then, draws the quantiles anew.
-func (d *desk) record(took time.Duration) {
-	if s := d.keep(took); len(s) >= fewSamples {
+// learned draws the quantiles anew, now and then, when a search ends. Danger: the answers that came so far of a search with
+// many parts are its quickest, and all others of it would be copied by their p95.
+func (d *desk) learned() {
+	if s := d.latest(); len(s) >= fewSamples {
 		d.p50, d.p95 = s[len(s)/2], s[int(copyQuantile*float64(len(s)))]
-		if d.base = min(d.p50, time.Duration(baseCreep*float64(d.base))); d.taken < fewSamples+redraw {
-			d.base = d.p50 // the first ones drawn
+		if d.base = min(d.p50, time.Duration(baseCreep*float64(d.base))); !d.drew {
+			d.drew, d.base = true, d.p50
 		}
 	}
 }
@@ -797,6 +798,7 @@
 	suspect := s.broke > s.in && !d.alike
 	out := suspect && slices.ContainsFunc(s.parts, func(p part) bool { return p.live > 0 })
 	over := suspect && !out && (s.broke > s.in+1 || s.scout) || d.beyond(s)
+	dear := t.ExtraWindow > 0 && float64(len(s.parts)-s.in) > d.afford(l.now)
 	for i := range s.parts {
 		p := &s.parts[i]
 		if p.done || p.dead {
@@ -817,13 +819,13 @@
 				continue
 			}
 			a := p.tries[len(p.tries)-1]
-			due, known := a.at+d.p95, d.taken >= fewSamples
+			due, known := a.at+d.p95, d.drew
 			if !known {
 				due = a.at + s.typ.Target/2
 			}
 			// Danger: copies made while a whole set, or everything, is slow join the crowd they flee from.
 			// Then only those from distrusted nodes go. It may hurt where half the nodes of a set turn slow.
-			if known && d.board[a.node].mode >= cold && d.crowded(p) {
+			if dear || known && d.board[a.node].mode >= cold && d.crowded(p) {
 				due = max(due, l.now+poll)
 			}
 			if due > l.now {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -149,7 +149,7 @@
 
 	// Copies in a general slowdown join the crowd (kisumu-leases big-1).
 	d := &r.l.desk
-	d.taken, d.p50, d.p95, d.base = samples, 300*ms, 350*ms, 100*ms
+	d.drew, d.p50, d.p95, d.base = true, 300*ms, 350*ms, 100*ms
 	r.ask(0, 3*time.Second, 0)
 	for end := r.now + 395*ms; r.now < end; {
 		must(t, len(pick(r.step(5*ms), broker.Send)) <= 1, "copied at %v", r.now)
--- a/logic/state.go
+++ b/logic/state.go
@@ -235,6 +235,7 @@
 		delete(d.refs, s.parts[i].id)
 	}
 	s.parts = s.parts[:0]
+	d.learned()
 }
 
 // keeper keeps the node list current.
@@ -304,6 +305,8 @@
 	takes        [samples]time.Duration
 	sorted       [samples]time.Duration
 	taken        int
+	drawn        int  // of them when the quantiles were last drawn
+	drew         bool // they were
 	p50          time.Duration
 	p95          time.Duration
 	base         time.Duration // low point of p50
@@ -681,12 +684,18 @@
 	d.drop(slot)
 }
 
-// keep stores a latency in the ring; when a redraw is due it returns all kept, sorted.
-func (d *desk) keep(took time.Duration) []time.Duration {
+// record keeps a latency in the ring.
+func (d *desk) record(took time.Duration) {
 	d.takes[d.taken%samples] = took
-	if d.taken++; d.taken%redraw != 0 {
+	d.taken++
+}
+
+// latest returns all latencies kept, sorted, if a redraw is due.
+func (d *desk) latest() []time.Duration {
+	if d.taken-d.drawn < redraw {
 		return nil
 	}
+	d.drawn = d.taken
 	s := d.sorted[:min(d.taken, samples)]
 	copy(s, d.takes[:])
 	slices.Sort(s)
@@ -763,7 +772,7 @@
 	}
 	if s.oldest != never && now+d.p50 <= s.deadline {
 		due := s.oldest + d.p95
-		if d.taken < fewSamples {
+		if !d.drew {
 			due = s.oldest + s.typ.Target/2
 		}
 		if due <= now+poll {
