--- a/logic/logic.go
+++ b/logic/logic.go
@@ -53,7 +53,7 @@
 
 	scouts, waryFor = 2, 30 * time.Second // ahead; a tenant's
 
-	tieBreak            = 0.01
+	tieBreak, deafStep  = 0.01, 0.5
 	vouchFor, vouchWait = 500 * time.Millisecond, 200 * time.Millisecond // a sign of life holds; is waited for
 )
 
@@ -568,11 +568,13 @@
 	return r.fast > max(q.Quota/float64(l.t.Brokers), overRate*q.Portion*d.total.usual(l.now))
 }
 
-// ride finds a call of this turn that can take another part, or picks a node.
+// ride finds a call of this turn to a node where the part's row of holders begins that can take another part, or picks a
+// node. In a ring others could take it too; but calls that gather all they can make every hung node cost a search more.
 func (d *desk) ride(s *search, i int) int32 {
-	for _, at := range d.holding(s.parts[i].shard) {
+	for _, at := range d.cells[s.parts[i].shard%d.l.t.Cells] {
 		b := &d.board[at]
-		if n := len(b.calls); n > 0 && b.calls[n-1].at == d.l.now && b.calls[n-1].parts < d.l.t.BatchParts && b.mode == fit {
+		n := len(b.calls)
+		if n > 0 && b.calls[n-1].at == d.l.now && b.calls[n-1].parts < d.l.t.BatchParts && b.mode == fit {
 			return at
 		}
 	}
@@ -610,7 +612,7 @@
 			}
 			continue
 		}
-		slow := b.slow
+		slow := max(b.slow, 1+(limpMost-1)*b.deaf)
 		if d.zones[b.zone].shunned {
 			slow = limpMost
 		}
@@ -668,7 +670,10 @@
 func (d *desk) probed(e *broker.Event) {
 	if at, known := d.l.byID[e.Node]; known {
 		b := &d.board[at]
-		if b.probing = false; e.Outcome == broker.OK {
+		b.deaf *= 1 - deafStep
+		if b.probing = false; e.Outcome != broker.OK {
+			b.deaf += deafStep
+		} else {
 			b.vouched = max(b.vouched, d.l.now-e.Took)
 			d.l.post(&d.l.nodes[at].box, note{kind: vouched})
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -28,6 +28,7 @@
 	proved   time.Duration // when the latest call that it answered was sent
 	vouched  time.Duration // when the latest probe or part that it answered was sent
 	probing  bool          // a probe is out
+	deaf     float64       // share of probes that it does not answer, lately
 	talked   time.Duration // when something last passed between here and it
 	calls    []call        // out, oldest first
 }
