--- a/logic/logic.go
+++ b/logic/logic.go
@@ -571,7 +571,11 @@
 // ride finds a call of this turn to a node where the part's row of holders begins that can take another part, or picks a
 // node. In a ring others could take it too; but calls that gather all they can make every hung node cost a search more.
 func (d *desk) ride(s *search, i int) int32 {
-	for _, at := range d.cells[s.parts[i].shard%d.l.t.Cells] {
+	p, among := &s.parts[i], d.cells[s.parts[i].shard%d.l.t.Cells]
+	if d.crowded(p) {
+		among = d.holding(p.shard)
+	}
+	for _, at := range among {
 		b := &d.board[at]
 		n := len(b.calls)
 		if n > 0 && b.calls[n-1].at == d.l.now && b.calls[n-1].parts < d.l.t.BatchParts && b.mode == fit {
