--- a/logic/logic.go
+++ b/logic/logic.go
@@ -484,7 +484,9 @@
 	if l.t.ByWork {
 		parts = 1 // its value is that of each part
 	}
-	d.value, d.parts = d.value+meanStep*(value-d.value), d.parts+meanStep*(parts-d.parts)
+	d.weighed++ // the first ones make the mean
+	step := max(meanStep, 1/d.weighed)
+	d.value, d.parts = d.value+step*(value-d.value), d.parts+step*(parts-d.parts)
 	bias := math.Pow(d.value/d.parts*parts/max(value, 0.01*d.value), worthBias)
 	left := s.deadline - l.now - s.spent
 	if left <= 0 { // its target has passed: it gives way to those that can still earn their full value
@@ -565,7 +567,8 @@
 	}
 	r, q := &d.rates[tenant], &l.t.Tenants[tenant]
 	r.decay(l.now)
-	return r.fast > max(q.Quota/float64(l.t.Brokers), overRate*q.Portion*d.total.usual(l.now))
+	// Danger: to a broker with little traffic a lone search looks like a burst of its tenant.
+	return r.fast-1/rateFast.Seconds() > max(q.Quota/float64(l.t.Brokers), overRate*q.Portion*d.total.usual(l.now))
 }
 
 // ride finds a call of this turn to a node where the part's row of holders begins that can take another part, or picks a
@@ -604,7 +607,7 @@
 			continue
 		}
 		stale := l.t.Probes && l.now-b.vouched > vouchFor
-		if stale && first && l.now < s.asked+vouchWait {
+		if stale && first && l.now < s.asked+vouchWait && l.now+d.p50 <= s.deadline {
 			full = true
 			continue
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -315,6 +315,7 @@
 	flows        []rate        // the same in each cell
 	slopes       []slope       // of each cell
 	value, parts float64       // of a search, on average
+	weighed      float64       // searches in that
 	lengths      []majority    // the usual length of a try, by type
 	short        bool          // of places
 	rates        []rate
