--- a/logic/actors.go
+++ b/logic/actors.go
@@ -177,11 +177,10 @@
 
 // Peers are told facts of factSize bytes: which kind, then a node's id or a tenant's number.
 const (
-	factSize   = 7
-	factsMost  = 36 // a message holds 256 bytes
-	factSick   = 's'
-	factWell   = 'w'
-	factTenant = 't'
+	factSize  = 7
+	factsMost = 36 // a message holds 256 bytes
+	factSick  = 's'
+	factWell  = 'w'
 )
 
 // spread keeps a fact for the peers.
@@ -196,9 +195,7 @@
 func (l *Logic) hear(text []byte) {
 	for ; len(text) >= factSize; text = text[factSize:] {
 		id := broker.NodeID{Addr: [4]byte(text[1:]), Port: binary.BigEndian.Uint16(text[5:])}
-		if text[0] == factTenant {
-			l.post(&l.desk.box, note{kind: rumour, node: int32(id.Port)})
-		} else if at, known := l.byID[id]; known {
+		if at, known := l.byID[id]; known {
 			l.post(&l.nodes[at].box, note{kind: rumour, sick: text[0] == factSick})
 		}
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -51,8 +51,6 @@
 
 	none, later int32 = -1, -2 // no node for a part; none yet
 
-	scouts, waryFor = 2, 30 * time.Second // ahead; a tenant's
-
 	tieBreak, deafStep  = 0.01, 0.5
 	vouchFor, vouchWait = 500 * time.Millisecond, 200 * time.Millisecond // a sign of life holds; is waited for
 )
@@ -299,10 +297,8 @@
 	case broker.Refused, broker.ConnectFailed, broker.NeverSent:
 	default:
 		p.risk(a.at)
-		if e.Outcome == broker.Reset {
-			if s.broke++; e.Took < d.p50/cutQuick {
-				d.stale(a, 1)
-			}
+		if e.Outcome == broker.Reset && e.Took < d.p50/cutQuick {
+			d.stale(a, 1)
 		}
 	}
 	// Danger: more answers get lost, in any way, than the cap pays for, and searches die of it while nodes idle.
@@ -373,18 +369,10 @@
 	}
 }
 
-func (d *desk) beWary(tenant int) { d.wary[tenant%len(d.wary)] = d.l.now + waryFor }
-
 // giveUp ends a search that can't be answered: shed with the time to come back in where that is true.
 func (d *desk) giveUp(slot int32) {
 	l, s := d.l, &d.slab[slot]
 	act := broker.Action{Kind: broker.Fail, ID: s.id}
-	// Danger: the next search of its kind brings down as many nodes. For a while a few parts go ahead.
-	if broken := s.broke - s.in; broken > 1 && 2*broken > len(s.parts) && !d.alike {
-		d.beWary(s.tenant)
-		l.spread(factTenant, broker.NodeID{Port: uint16(s.tenant)})
-		l.logf("tenant %d: parts go ahead: %d of %d broke connections", s.tenant, s.broke, len(s.parts))
-	}
 	if (s.untouched() || s.typ.Effect == broker.Idempotent) && l.now < s.last {
 		act.Kind, act.After = broker.Shed, time.Duration((0.5+0.5*l.rand())*float64(l.t.MaxRetryAfter))
 	}
@@ -444,15 +432,13 @@
 		d.giveUp(slot)
 		return
 	}
-	s.scout = len(s.parts) > scouts && l.now < d.wary[s.tenant%len(d.wary)]
 	d.ask(s)
 	d.launch(s)
 	d.settle(slot)
 }
 
-// launch sends the parts that were not sent yet, or a few of them ahead as scouts.
+// launch sends the parts that were not sent yet.
 func (d *desk) launch(s *search) {
-	ahead := 0
 	for i := range s.parts {
 		p := &s.parts[i]
 		if p.dead || len(p.tries) > 0 {
@@ -465,9 +451,6 @@
 		}
 		d.send(p, at)
 		d.tokens = min(capDepth, d.tokens+capShare)
-		if ahead++; s.scout && ahead == scouts {
-			return
-		}
 	}
 }
 
@@ -793,30 +776,22 @@
 	l.post(&l.nodes[at].box, note{kind: sent})
 }
 
-// further sends copies and resends that are due, within the shared cap, and what waited for scouts. Danger: a
-// search may itself bring down the nodes that begin it. While more of its parts broke a connection than were
-// answered, nothing more is sent, and it is over once none is out. It may hurt where many nodes die at once.
+// further sends copies and resends that are due, within the shared cap, and what waited.
 func (d *desk) further(s *search) {
 	l, t := d.l, d.l.t
-	if s.scout && s.in > 0 {
-		s.scout = false
-		d.launch(s)
-	}
 	if s.held {
 		s.held = false
 		d.launch(s)
 		d.next = min(d.next, l.now+poll)
 	}
-	suspect := s.broke > s.in && !d.alike
-	out := suspect && slices.ContainsFunc(s.parts, func(p part) bool { return p.live > 0 })
-	over := suspect && !out && (s.broke > s.in+1 || s.scout) || d.beyond(s)
+	over := d.beyond(s)
 	dear := t.ExtraWindow > 0 && float64(len(s.parts)-s.in) > d.afford(l.now)
 	for i := range s.parts {
 		p := &s.parts[i]
 		if p.done || p.dead {
 			continue
 		}
-		if over || out || len(p.tries) == 0 {
+		if over || len(p.tries) == 0 {
 			p.dead = over
 			continue
 		}
@@ -868,12 +843,6 @@
 	return !p.mayRun || effect == broker.Idempotent || effect == broker.Tokened && inWindow
 }
 
-// mayCopy tells whether a part that is still out may be sent once more (rule 2).
-func (d *desk) mayCopy(s *search, p *part) bool {
-	inWindow := d.l.now <= p.tries[0].at+s.typ.Window && (!p.mayRun || d.l.now <= p.firstRisk+s.typ.Window)
-	return s.typ.Effect == broker.Idempotent || s.typ.Effect == broker.Tokened && inWindow
-}
-
 // beyond tells whether a search lacks more parts than the budget lets be sent again in time. Danger: what is left of
 // it goes to searches that fail all the same, and their clients ask again too late.
 func (d *desk) beyond(s *search) bool {
@@ -891,22 +860,10 @@
 	return lost > have && s.got+s.open()-weight*(1-have/lost) < least-eps
 }
 
-// afford is how many further sub-requests the budget leaves by a time.
-func (d *desk) afford(by time.Duration) float64 {
-	t, spent := d.l.t, 0
-	for _, at := range d.extras {
-		if at > by-t.ExtraWindow {
-			spent++
-		}
-	}
-	return t.ExtraFloor + t.ExtraShare*float64(len(d.asks)) - float64(spent)
+// mayCopy tells whether a part that is out may be sent once more beside it (rule 2).
+func (d *desk) mayCopy(s *search, p *part) bool {
+	return s.typ.Effect == broker.Idempotent || s.typ.Effect == broker.Tokened && d.l.now <= p.tries[0].at+s.typ.Window
 }
 
 // inBudget keeps rule 6: further sub-requests in the window, this one included.
-func (d *desk) inBudget() bool {
-	t := d.l.t
-	bound := d.l.now - t.ExtraWindow
-	d.asks, d.extras = trim(d.asks, bound), trim(d.extras, bound-t.Step)
-	most := t.ExtraFloor + t.ExtraShare*float64(len(d.asks))
-	return t.ExtraWindow == 0 || float64(len(d.extras)+1) <= most
-}
+func (d *desk) inBudget() bool { return d.l.t.ExtraWindow == 0 || d.afford(d.l.now-d.l.t.Step) >= 1 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -371,21 +371,6 @@
 	}
 }
 
-// A search that brings down each node that begins it is not carried further, and the next of its tenant sends
-// parts ahead (mombasa-tenancy-later big-2).
-func TestSearchThatBringsNodesDown(t *testing.T) {
-	r := newRig(smallTerms(), 12)
-	r.ask(0, 3*time.Second, 0, 1, 2, 3)
-	r.step(0)
-	r.endWhere(broker.Reset, 0, nil)
-	a := r.step(5 * ms)
-	must(t, len(pick(a, broker.Send)) == 0 && len(pick(a, broker.Shed)) == 1, "given up at once: %v", a)
-	r.ask(0, 3*time.Second, 0, 1, 2, 3)
-	must(t, len(pick(r.step(5*ms), broker.Send)) == scouts, "parts go ahead")
-	r.endWhere(broker.OK, 0, nil)
-	must(t, len(pick(r.step(5*ms), broker.Send)) == 2, "the others follow the first answer")
-}
-
 // What peers say thins a node's traffic, is forgotten, and makes no difference where it makes no sense.
 func TestRumours(t *testing.T) {
 	terms := smallTerms()
@@ -465,8 +450,10 @@
 // Where answers break on the way from all nodes alike, no node is shut for it and searches are still answered; one
 // node that fails alone is shut (the churn day, answers lost).
 func TestAnswersLostFromAllNodes(t *testing.T) {
-	for _, alone := range []bool{false, true} {
-		r, rnd, answers, final, shut, said := newRig(smallTerms(), 12), rand.New(rand.NewSource(1)), 0, 0, 0, 0
+	shuts := 0 // where all nodes fail alike
+	for run := range 6 {
+		alone := run == 5
+		r, rnd, answers, final, shut, said := newRig(smallTerms(), 12), rand.New(rand.NewSource(int64(1+run))), 0, 0, 0, 0
 		for i := range 4000 {
 			if i%2 == 0 {
 				r.ask(0, 3*time.Second, 0, 1)
@@ -500,8 +487,11 @@
 		}
 		must(t, r.bad == "" && answers*100 > final*98, "alone %v: %d of %d answered, %s", alone, answers, final, r.bad)
 		must(t, alone && said == 0 || !alone && said == 1, "alone %v: %d changes of mode", alone, said)
-		must(t, alone && shut > 2000 || !alone && shut < 2000, "alone %v: shut for %d steps", alone, shut)
+		if must(t, !alone || shut > 2000, "shut for %d steps", shut); !alone {
+			shuts += shut
+		}
 	}
+	must(t, shuts < 5*2000, "shut for %d steps in five runs", shuts)
 }
 
 // Nodes that are replaced under new ids all day leave nothing behind, though searches run on; a place that is used
--- a/logic/state.go
+++ b/logic/state.go
@@ -76,11 +76,9 @@
 	whole    time.Duration // of all steps
 	last     time.Duration
 	got      float64
-	scout    bool          // some parts are sent ahead of the others
 	held     bool          // some parts wait for a node that is eased in, or for a probe
 	asked    time.Duration // when the holders of its parts were probed; 0: they were not
 	in       int           // parts answered
-	broke    int           // sub-requests that broke their connection
 	calm     bool          // only time can change anything of it
 	oldest   time.Duration // calm: when the first part that may be copied was sent; never: there is none
 	parts    []part
@@ -320,11 +318,10 @@
 	short        bool          // of places
 	rates        []rate
 	zones        []zone
-	alike        bool            // parts break from all nodes alike
-	cut, fail    float64         // share of parts that fail over connections that idled, and over others
-	cutUntil     time.Duration   // idle connections are closed before use until then
-	idleMost     time.Duration   // those that idled for so long
-	wary         []time.Duration // until when a tenant's searches send one part ahead
+	alike        bool          // parts break from all nodes alike
+	cut, fail    float64       // share of parts that fail over connections that idled, and over others
+	cutUntil     time.Duration // idle connections are closed before use until then
+	idleMost     time.Duration // those that idled for so long
 	total        rate
 	asks         []time.Duration // rule 6: items taken and further sub-requests in the window
 	extras       []time.Duration
@@ -341,7 +338,6 @@
 	d.warms = make([]int, l.t.Cells)
 	d.slopes = make([]slope, l.t.Cells)
 	d.rates = make([]rate, len(l.t.Tenants))
-	d.wary = make([]time.Duration, max(1, len(l.t.Tenants)))
 }
 
 func (r *rate) add(now time.Duration, n float64) {
@@ -385,6 +381,18 @@
 	}
 }
 
+// afford is how many further sub-requests the budget leaves by a time (rule 6).
+func (d *desk) afford(by time.Duration) float64 {
+	t, spent := d.l.t, 0
+	d.asks, d.extras = trim(d.asks, d.l.now-t.ExtraWindow), trim(d.extras, d.l.now-t.Step-t.ExtraWindow)
+	for _, at := range d.extras {
+		if at > by-t.ExtraWindow {
+			spent++
+		}
+	}
+	return t.ExtraFloor + t.ExtraShare*float64(len(d.asks)) - float64(spent)
+}
+
 // spend books a further sub-request.
 func (d *desk) spend() {
 	d.tokens--
@@ -524,8 +532,6 @@
 		d.tally(b, 1)
 	case sweep:
 		d.sweep()
-	case rumour:
-		d.beWary(int(n.node))
 	case event:
 		switch n.ev.Kind {
 		case broker.SearchIn:
@@ -749,7 +755,7 @@
 // of the end of a part: then it need not be looked at with each turn. It must say no wherever settle or further would look at
 // something else; the courses of the laboratory's scripts are the same with and without it.
 func (d *desk) calmed(s *search) {
-	if !s.inUse || !s.sent || s.scout || s.held || s.broke > 0 {
+	if !s.inUse || !s.sent || s.held {
 		return
 	}
 	s.oldest = never
