Settings change under a running broker, and back, by SIGHUP; probes on sockets

Need: the broker is to be ready for the new deployments without a restart. Change: SIGHUP takes over 'settings' where the operators' file switches nothing on that holds to them; what is in hand ends under its own terms, and where shards or nodes are others no part of it goes to a new node (Logic.Retune, loop.retune; budget and tokens stay). Lists read for the old layout are dropped, searches read under the old settings are translated by name or refused. A probe on sockets is a connection that comes up, as the protocol has no word for it. Checked settings: countedBy, permissions.probes, a budget without lookBackNs, tokened types without windowNs, classFloor over wholeAt.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -47,6 +47,7 @@
 	Whole   bool
 	Nodes   []Node
 	Service string // the address that told it
+	Cells   int    // in which its nodes lie, as it was read
 }
 
 // Reader reads lists in discovery's form.
@@ -76,7 +77,7 @@
 	if doc.Generation == nil {
 		return nil, errors.New("node list: generation: missing")
 	}
-	list := &List{Version: *doc.Generation, Whole: doc.Reset}
+	list := &List{Version: *doc.Generation, Whole: doc.Reset, Cells: rd.Cells}
 	for i, in := range doc.Instances {
 		n := Node{Name: in.InstanceID, Zone: in.Zone, Started: in.StartedAt}
 		e := &n.Entry
@@ -137,6 +138,7 @@
 type Client struct {
 	mu        sync.Mutex
 	pending   string             // the address to move to; "" for none
+	next      *Reader            // what reads lists from there on; nil: the one that does
 	interrupt context.CancelFunc // ends the call in hand
 
 	addr   string
@@ -171,11 +173,13 @@
 
 // Move has discovery asked at another address from now on, even where a watch is held; that counts as an ask. The list
 // held stands until the new one has spoken. The new one may count its versions from anywhere, so that it is asked for
-// the whole list first.
-func (c *Client) Move(addr string) {
+// the whole list first. Lists are read by another reader from there on, if one is given.
+func (c *Client) Move(addr string, reader *Reader) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending = addr
+	if c.pending = addr; reader != nil {
+		c.next = reader
+	}
 	if c.interrupt != nil {
 		c.interrupt()
 	}
@@ -196,6 +200,9 @@
 	if c.pending != "" {
 		c.hangUp("moved")
 		c.addr, c.pending, c.held, c.known = c.pending, "", 0, false
+		if c.next != nil {
+			c.reader, c.next = *c.next, nil
+		}
 	}
 	ctx, c.interrupt = context.WithCancel(ctx)
 	return ctx, c.interrupt
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -213,8 +213,8 @@
 		for i, step := range []struct{ to, want string }{{"new", "[3]"}, {"newer", "[3 5]"}, {"dead", "[3 5 failed]"},
 			{"back again", "[3 5 failed 10]"}} {
 			synctest.Wait()
-			c.Move("nowhere")
-			c.Move(step.to)
+			c.Move("nowhere", nil)
+			c.Move(step.to, nil)
 			synctest.Wait()
 			if got := fmt.Sprint(told); got != step.want || time.Since(begun) > 0 {
 				t.Errorf("move %d to %s: told %s after %v, want %s", i, step.to, got, time.Since(begun), step.want)
@@ -352,7 +352,7 @@
 		go func() { c.Run(ctx); close(done) }()
 		c.Ask()
 		time.Sleep(time.Second)
-		c.Move("127.0.0.1:2")
+		c.Move("127.0.0.1:2", nil)
 		if took := <-at; took > 1100*time.Millisecond {
 			t.Errorf("the move was made %v after the start", took)
 		}
--- a/logic/actors.go
+++ b/logic/actors.go
@@ -127,6 +127,18 @@
 	return l
 }
 
+// Retune has the module go on under new terms. What is in hand ends as the terms say under which it was taken; all that was
+// learned stays, the budget of further sub-requests too. moved: shards lie elsewhere now, or other nodes hold them. Then parts in
+// hand are sent to no other node, and the front empties the node list first.
+func (l *Logic) Retune(t broker.Terms, moved bool) {
+	t.Seed = l.t.Seed
+	l.t = &t
+	for i := range t.Types {
+		l.longest = max(l.longest, t.Types[i].Timeout)
+	}
+	l.desk.relay(moved)
+}
+
 // Turn takes one batch of events and appends what is to be done.
 func (l *Logic) Turn(now time.Duration, events []broker.Event, actions []broker.Action) []broker.Action {
 	l.now, l.out = now, actions
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -70,6 +70,7 @@
 	taken, extras []time.Duration
 	asked         time.Duration
 	bad           string
+	moved         uint64 // the last id given before the layout changed
 }
 
 func newRig(t broker.Terms, nodes int) *rig {
@@ -204,6 +205,9 @@
 		r.fault("rule 1: part %d sent after its end", a.ID)
 		return
 	}
+	if a.ID <= r.moved || p.search <= r.moved {
+		r.fault("part %d of a search taken before its shards moved sent", a.ID)
+	}
 	typ := &r.t.Types[r.searches[p.search].typ]
 	if p.tries > 0 {
 		switch {
@@ -304,9 +308,31 @@
 		}
 		r.step(jump)
 	}
+	if rnd.Intn(200) == 0 {
+		r.retune(rnd.Intn(2) == 0)
+	}
 	r.step([]time.Duration{5 * ms, 10 * ms}[rnd.Intn(4)/3])
 }
 
+// retune gives the module its terms anew; moved: in another layout, with the nodes in other cells.
+func (r *rig) retune(moved bool) {
+	if moved {
+		r.list(broker.ListFull)
+		r.step(0)
+		r.t.Cells = 5 - r.t.Cells // 2 or 3
+	}
+	r.l.Retune(r.t, moved)
+	if !moved {
+		return
+	}
+	r.moved = r.nextID
+	var list []broker.Entry
+	for i := range 6 {
+		list = append(list, broker.Entry{Node: nodeID(i), Cell: i % r.t.Cells, State: broker.Ready, Boot: broker.NoBoot})
+	}
+	r.list(broker.ListFull, list...)
+}
+
 func must(t *testing.T, ok bool, format string, args ...any) {
 	t.Helper()
 	if !ok {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -791,8 +791,8 @@
 		if p.done || p.dead {
 			continue
 		}
-		if over || len(p.tries) == 0 {
-			p.dead = over
+		if over || len(p.tries) == 0 || s.moved {
+			p.dead = over || s.moved && p.live == 0
 			continue
 		}
 		inTime := l.now+d.p50 <= s.deadline && len(p.tries) < t.MaxAttempts
--- a/logic/state.go
+++ b/logic/state.go
@@ -79,6 +79,7 @@
 	held     bool          // some parts wait for a node that is eased in, or for a probe
 	asked    time.Duration // when the holders of its parts were probed; 0: they were not
 	in       int           // parts answered
+	moved    bool          // its shards lie elsewhere by now: no part of it goes to another node
 	calm     bool          // only time can change anything of it
 	oldest   time.Duration // calm: when the first part that may be copied was sent; never: there is none
 	parts    []part
@@ -340,6 +341,28 @@
 	d.rates = make([]rate, len(l.t.Tenants))
 }
 
+// relay makes room for what new terms list, with the nodes in the cells that these have.
+func (d *desk) relay(moved bool) {
+	l := d.l
+	d.lengths, d.rates = make([]majority, len(l.t.Types)), make([]rate, len(l.t.Tenants))
+	d.flows, d.slopes = make([]rate, l.t.Cells), make([]slope, l.t.Cells)
+	d.cells, d.warms, d.warm = make([][]int32, l.t.Cells), make([]int, l.t.Cells), 0
+	for i := range d.board {
+		if b := &d.board[i]; b.placed {
+			d.cells[b.cell%l.t.Cells] = append(d.cells[b.cell%l.t.Cells], int32(i))
+			d.tally(b, 1)
+		}
+	}
+	for slot := range d.used.all {
+		if s := &d.slab[slot]; moved {
+			s.moved, s.calm = true, false
+			for i := range s.parts {
+				s.parts[i].dead = s.parts[i].dead || len(s.parts[i].tries) == 0
+			}
+		}
+	}
+}
+
 func (r *rate) add(now time.Duration, n float64) {
 	r.decay(now)
 	r.fast += n / rateFast.Seconds()
@@ -417,7 +440,7 @@
 	} else {
 		s.parts = append(s.parts, part{})
 	}
-	s.parts[n] = part{id: e.ID, shard: e.Shard, weight: e.Weight, tries: s.parts[n].tries[:0]}
+	s.parts[n] = part{id: e.ID, shard: e.Shard, weight: e.Weight, tries: s.parts[n].tries[:0], dead: s.moved}
 	s.calm = false
 	d.refs[e.ID] = ref{slot, int32(n), s.gen}
 }
--- a/server/ask.go
+++ b/server/ask.go
@@ -39,7 +39,7 @@
 // decodeAsk reads a search.
 func decodeAsk(m *httpwire.Message, t *terms.Terms) (*ask, *refusal) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(m.Path, "/"), "/")
-	a := &ask{typ: slices.Index(t.Types, name)}
+	a := &ask{typ: slices.Index(t.Types, name), under: t}
 	if a.typ < 0 {
 		return nil, no(404, "no query type %.40q", name)
 	}
--- a/server/client.go
+++ b/server/client.go
@@ -246,7 +246,7 @@
 func (s *Server) waitForRoom(ctx context.Context) bool {
 	select {
 	case <-s.clients.room:
-	case <-time.After(s.start.Terms.Dial):
+	case <-time.After(s.Terms().Dial):
 	case <-ctx.Done():
 		return false
 	}
@@ -271,7 +271,7 @@
 		if c.requests == 0 {
 			c.SetReadDeadline(c.opened.Add(wholeWithin))
 		} else {
-			c.SetReadDeadline(time.Now().Add(s.start.Terms.Idle))
+			c.SetReadDeadline(time.Now().Add(s.Terms().Idle))
 		}
 		if ended := s.clients.turn(c, idle); ended != "" {
 			return ended
@@ -324,7 +324,7 @@
 	case c.requests == 0:
 		return c.opened.Add(max(wholeWithin, time.Since(c.opened)+s.clients.moment)) // what came late gets a moment
 	default:
-		return time.Now().Add(min(s.longest, wholeWithin))
+		return time.Now().Add(min(longest(s.Terms()), wholeWithin))
 	}
 }
 
@@ -348,7 +348,7 @@
 func (s *Server) part(c *client, status int, why string) {
 	s.write(c, httpwire.AppendResponse(c.out[:0], status, true, []byte(why+"\n")))
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-		c.SetReadDeadline(time.Now().Add(s.start.Terms.Dial))
+		c.SetReadDeadline(time.Now().Add(s.Terms().Dial))
 		io.Copy(io.Discard, io.LimitReader(c, httpwire.MaxBody))
 	}
 }
@@ -368,7 +368,7 @@
 		text := append([]byte(s.Counters().String()), '\n')
 		return s.reply(c, httpwire.AppendResponse(c.out[:0], 200, last, text, "Content-Type: application/json"), last)
 	}
-	a, bad := decodeAsk(m, &s.start.Terms)
+	a, bad := decodeAsk(m, s.Terms())
 	if bad != nil { // whoever sends such a one gets no second try on the same connection
 		s.clients.refused.Add(1)
 		s.part(c, bad.status, bad.why)
@@ -440,7 +440,7 @@
 // write sends a response whole, within the longest time that any client waits.
 func (s *Server) write(c *client, b []byte) error {
 	c.out = b[:0]
-	c.SetWriteDeadline(time.Now().Add(s.longest))
+	c.SetWriteDeadline(time.Now().Add(longest(s.Terms())))
 	_, err := c.Write(b)
 	return err
 }
--- a/server/core.go
+++ b/server/core.go
@@ -63,13 +63,10 @@
 	l := newLoop(a.Start, decide(t.Module), &t.Module)
 	l.clock, l.ask, l.tell = a.Now, a.Ask, a.Tell
 	l.say = func(text string, _ time.Duration) { a.Log(text) }
-	longest := time.Duration(0)
-	for i := range t.Module.Types {
-		longest = max(longest, t.Module.Types[i].Timeout)
-	}
-	limits := store.Limits{Streams: t.Streams, Idle: t.Idle, Dial: t.Dial, Silent: longest,
+	limits := store.Limits{Streams: t.Streams, Idle: t.Idle, Dial: t.Dial, Silent: longest(t),
 		Conns: max(1, (a.Sockets-spareSockets)/nodesPart)}
 	l.pool = store.NewPool(context.Background(), limits, nil, a.Now, nil, nil, l.subrequestEnded)
+	l.pool.Probed = l.probed
 	l.pool.Carry(a.Carry)
 	var err error
 	if file.Door.On {
--- a/server/front.go
+++ b/server/front.go
@@ -27,8 +27,8 @@
 // Add has a front start and stop with the broker. It comes before Run.
 func (s *Server) Add(f Front) { s.fronts = append(s.fronts, f) }
 
-// Terms are the settings of the deployment.
-func (s *Server) Terms() *terms.Terms { return &s.start.Terms }
+// Terms are the settings in force.
+func (s *Server) Terms() *terms.Terms { return s.settings.Load() }
 
 // Since is the time since the broker's start.
 func (s *Server) Since() time.Duration { return s.loop.since() }
--- a/server/loop.go
+++ b/server/loop.go
@@ -18,6 +18,7 @@
 	"flaxfront/link"
 	"flaxfront/state/nodelist"
 	"flaxfront/store"
+	"flaxfront/terms"
 )
 
 // queueDepth bounds what is delivered and not yet taken. Whoever delivers more waits, so that bytes stay in the
@@ -33,7 +34,8 @@
 	timeout time.Duration
 	text    string
 	parts   []askPart
-	client  uint64 // a hash of the key that its client states; 0: none
+	client  uint64       // a hash of the key that its client states; 0: none
+	under   *terms.Terms // the settings by which it was read; nil: those of the start
 }
 
 type askPart struct {
@@ -114,6 +116,12 @@
 	}
 	report struct{ to chan Tally }
 	parted struct{ done chan struct{} } // the broker stops: the tier is told
+	retune struct {                     // other settings come into force
+		terms *terms.Terms
+		moved bool            // with other shards, or other nodes
+		list  *discovery.List // the nodes there, as far as known; nil: not at all
+		done  chan struct{}
+	}
 )
 
 // Tally counts searches: Taken = Answered + Shed + Errored + Left + InHand.
@@ -161,6 +169,8 @@
 	saved    *saved   // nil: no list is kept
 	gate     *gateway // nil: no other site is known
 	types    []broker.SearchType
+	under    *terms.Terms // in force, where they can change
+	cells    int
 	door     *doorway // nil: first come, first served
 	lets     []admission.Let
 	crew     *crew // nil: no other broker of the tier is known
@@ -169,6 +179,11 @@
 // pictured is a module that tells what it takes to be so, to be held against the wire.
 type pictured interface{ Picture() (out, shut int) }
 
+// tuned is a module that can go on under other terms.
+type tuned interface {
+	Retune(t broker.Terms, moved bool)
+}
+
 // call gathers the parts of one turn to one node.
 type call struct {
 	to    broker.NodeID
@@ -176,7 +191,7 @@
 }
 
 func newLoop(start time.Time, module broker.Decider, t *broker.Terms) *loop {
-	return &loop{start: start, clock: func() time.Duration { return time.Since(start) }, say: logModule, module: module, types: t.Types, maxOpen: t.MaxOpen, comeBack: t.MaxRetryAfter, batch: t.BatchParts,
+	return &loop{start: start, clock: func() time.Duration { return time.Since(start) }, say: logModule, module: module, types: t.Types, cells: t.Cells, maxOpen: t.MaxOpen, comeBack: t.MaxRetryAfter, batch: t.BatchParts,
 		in: make(chan any, queueDepth), nodes: map[broker.NodeID]discovery.Node{}, next: 1,
 		searches: map[uint64]*search{}, owners: map[uint64]*search{}, ids: map[string]bool{},
 		ask: func() {}, tell: func(string) {}}
@@ -284,6 +299,9 @@
 		l.events = append(l.events, broker.Event{Kind: broker.PeerSaid, From: uint32(d.from), Text: d.text})
 	case met:
 		l.metOne(d)
+	case retune:
+		l.retune(d)
+		close(d.done)
 	case parted:
 		l.leaveCrew()
 		close(d.done)
@@ -314,6 +332,46 @@
 	}
 }
 
+// retune has the loop, the pool and the module go on under other settings. What came before is taken under the old ones, and what
+// is in hand ends by them. Where shards or nodes are others now, the nodes known so far get nothing more.
+func (l *loop) retune(d retune) {
+	if d.moved {
+		l.relist(&discovery.List{Whole: true})
+	}
+	if len(l.events) > 0 {
+		l.turn(l.since())
+	}
+	t := &d.terms.Module
+	l.module.(tuned).Retune(*t, d.moved)
+	l.under, l.types, l.cells, l.maxOpen, l.comeBack, l.batch = d.terms, t.Types, t.Cells, t.MaxOpen, t.MaxRetryAfter, t.BatchParts
+	l.pool.Retune(d.terms.Streams, d.terms.Idle, d.terms.Dial, longest(d.terms))
+	if d.list != nil {
+		l.relist(d.list)
+	}
+}
+
+// fits tells whether a search that was read under other settings can be taken under those in force, and has it say the same
+// under them.
+func (l *loop) fits(a *ask) bool {
+	if a.under == nil || a.under == l.under {
+		return true
+	}
+	was, now := a.under, l.under
+	a.typ = slices.Index(now.Types, was.Types[a.typ])
+	if a.typ < 0 || now.Fingerprint() != was.Fingerprint() {
+		return false
+	}
+	if len(now.Tenants) == 0 {
+		a.tenant = 0
+	} else if len(was.Tenants) > 0 {
+		a.tenant = slices.Index(now.Tenants, was.Tenants[a.tenant])
+	} else {
+		a.tenant = -1
+	}
+	a.under = now
+	return a.tenant >= 0
+}
+
 // admit hands a search to the module, if there is a place for it and its parts.
 func (l *loop) admit(s *search) {
 	l.tally.Taken++
@@ -322,7 +380,7 @@
 		l.conclude(s, verdict{kind: twice})
 		return
 	}
-	if s.crowded || l.places+1+n > l.maxOpen {
+	if s.crowded || l.places+1+n > l.maxOpen || !l.fits(s.ask) {
 		l.tally.Full++
 		l.conclude(s, verdict{kind: shed, after: l.comeBack}) // the longest that the settings let it say
 		return
@@ -367,6 +425,9 @@
 		l.events = append(l.events, broker.Event{Kind: broker.ListFailed})
 		return
 	}
+	if list.Cells != 0 && list.Cells != l.cells {
+		return // read before the layout changed; the whole list of the new one is asked for
+	}
 	l.tally.ListsTaken++
 	l.relist(list)
 	if l.crew != nil {
@@ -468,6 +529,8 @@
 		}
 	case broker.Close:
 		l.pool.Retire(a.Node)
+	case broker.Probe:
+		l.pool.Probe(a.Node)
 	case broker.Subscribe:
 		l.ask()
 	case broker.Log:
@@ -566,6 +629,11 @@
 	}
 }
 
+// probed takes the end of a probe.
+func (l *loop) probed(id broker.NodeID, how broker.Outcome, took time.Duration) {
+	l.events = append(l.events, broker.Event{Kind: broker.Probed, Node: id, Outcome: how, Took: took})
+}
+
 // finish takes a search out of hand; it is forgotten once the actions of its last turn are carried out.
 func (l *loop) finish(s *search) {
 	s.over = true
--- a/server/server.go
+++ b/server/server.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,7 +65,7 @@
 	serving  sync.WaitGroup // client connections
 	accepted chan struct{}  // closed when no more of them come
 	draining atomic.Bool
-	longest  time.Duration // that any client waits
+	settings atomic.Pointer[terms.Terms] // in force
 	operator *operator.File
 	keeper   *nodelist.Store // nil: no list is kept
 	keys     *keys.Keyring   // nil: there is no gateway
@@ -79,10 +80,9 @@
 func New(start *terms.Start, file *operator.File, newModule func(broker.Terms) broker.Decider) (*Server, error) {
 	t := &start.Terms
 	s := &Server{start: start, operator: file, asked: start.Discovery, accepted: make(chan struct{}), after: time.After}
-	for i := range t.Module.Types {
-		s.longest = max(s.longest, t.Module.Types[i].Timeout)
-	}
+	s.settings.Store(t)
 	s.loop = newLoop(time.Now(), newModule(t.Module), &t.Module)
+	s.loop.under = t
 	s.reader = discovery.Reader{Zones: t.Zones, Cells: t.Module.Cells, Start: s.loop.start}
 	var err error
 	if s.list, s.known, err = check(start, s.reader); err != nil {
@@ -122,20 +122,39 @@
 }
 
 // Reload takes over a new configuration while serving, with one log line. It is read and checked whole by then; err is
-// what was wrong with it, and then the old one stays in force. Discovery moves; what would need a restart is named and
-// stays as it was. Calls must not overlap.
+// what was wrong with it, and then the old one stays in force. Discovery moves and settings change; what would need a restart is
+// named and stays as it was. Calls must not overlap.
 func (s *Server) Reload(start *terms.Start, file *operator.File, err error) {
+	var list *discovery.List
+	var known bool
 	if err == nil {
-		_, _, err = check(start, discovery.Reader{Zones: start.Terms.Zones, Cells: start.Terms.Module.Cells})
+		reader := discovery.Reader{Zones: start.Terms.Zones, Cells: start.Terms.Module.Cells, Start: s.loop.start}
+		list, known, err = check(start, reader)
 	}
 	if err != nil {
 		slog.Error("configuration not taken; the old one stays in force", "error", err)
 		return
 	}
-	fixed := append(s.start.Differs(start), s.operator.Differs(file)...)
-	if s.asked != start.Discovery {
+	have := *s.start
+	have.Terms = *s.Terms()
+	fixed := have.Differs(start)
+	at := slices.Index(fixed, "settings")
+	switched := at >= 0 && s.tunable(&start.Terms)
+	var reader *discovery.Reader
+	if switched {
+		fixed = slices.Delete(fixed, at, at+1)
+		moved := s.asked != start.Discovery || have.Terms.Fingerprint() != start.Terms.Fingerprint()
+		if !known || !moved {
+			list = nil
+		}
+		s.retune(&start.Terms, moved, list)
+		if moved {
+			reader = &discovery.Reader{Zones: start.Terms.Zones, Cells: start.Terms.Module.Cells, Start: s.loop.start}
+		}
+	}
+	if fixed = append(fixed, s.operator.Differs(file)...); s.asked != start.Discovery || reader != nil {
 		s.asked = start.Discovery
-		s.nodeList.Move(start.Discovery.String())
+		s.nodeList.Move(start.Discovery.String(), reader)
 	}
 	if s.keys != nil {
 		if err := s.keys.Reload(); err != nil {
@@ -144,7 +163,38 @@
 			slog.Info("keys taken", "broker", s.keys.ID(), "expires", s.keys.Ends())
 		}
 	}
-	slog.Info("configuration taken", "discovery", start.Discovery, "needs_restart", fixed)
+	slog.Info("configuration taken", "discovery", start.Discovery, "settings_switched", switched, "needs_restart", fixed)
+}
+
+// tunable tells whether other settings can be taken over without a restart. What the operators' own file switches on holds to
+// the settings of the start, and so do the addresses at which brokers talk.
+func (s *Server) tunable(t *terms.Terms) bool {
+	o, have := s.operator, s.Terms()
+	plain := !o.Door.On && !o.Crew.On && !o.Linked() && !o.Listed() && o.Back.Protocol == "" && len(s.fronts) == 0
+	_, able := s.loop.module.(tuned)
+	return able && plain && t.Me == have.Me && t.Module.Peers == have.Module.Peers
+}
+
+// retune has all go on under other settings: the loop first, then what clients send. What was read under the old ones and comes
+// to the loop later is translated there.
+func (s *Server) retune(t *terms.Terms, moved bool, list *discovery.List) {
+	r := retune{t, moved, list, make(chan struct{})}
+	if !s.deliver(r) {
+		return
+	}
+	select {
+	case <-r.done:
+		s.settings.Store(t)
+	case <-s.ctx.Done():
+	}
+}
+
+// longest is how long any client waits.
+func longest(t *terms.Terms) (d time.Duration) {
+	for i := range t.Module.Types {
+		d = max(d, t.Module.Types[i].Timeout)
+	}
+	return d
 }
 
 // Open opens what the broker listens on. It serves nothing yet.
@@ -193,9 +243,10 @@
 	if s.operator.Back.Protocol != "" {
 		streams = 1 // a session does one thing at a time
 	}
-	limits := store.Limits{Streams: streams, Idle: t.Idle, Dial: t.Dial, Silent: s.longest, Conns: forNodes}
+	limits := store.Limits{Streams: streams, Idle: t.Idle, Dial: t.Dial, Silent: longest(t), Conns: forNodes}
 	s.loop.pool = store.NewPool(s.ctx, limits, store.DialTCP, s.loop.since, s.group.Go,
 		func(e store.Event) { s.deliver(e) }, s.loop.subrequestEnded)
+	s.loop.pool.Probed = s.loop.probed
 	if s.operator.Back.Protocol != "" {
 		s.loop.pool.Carry(back.Carrier(s.ctx, back.Options{Protocol: s.operator.Back.Protocol, Database: s.operator.Back.Database, Dial: t.Dial,
 			Now: s.loop.since, Post: func(e store.Event) { s.deliver(e) }}))
--- a/store/store.go
+++ b/store/store.go
@@ -92,6 +92,7 @@
 // Pool holds the connections to all nodes.
 type Pool struct {
 	Counts Counts
+	Probed func(id broker.NodeID, how broker.Outcome, took time.Duration) // takes the end of each probe
 	ctx    context.Context
 	limits Limits
 	open   Dialer
@@ -133,6 +134,7 @@
 	closed bool
 
 	retired bool // it gets nothing more
+	probed  bool // a probe waits for it to come up
 }
 
 // offMost bounds the ids of parts given up that a connection remembers. Of older ones the node has heard long ago.
@@ -181,6 +183,49 @@
 	}
 }
 
+// Retune has the pool go on under other times and streams; how many connections it may hold stays.
+func (p *Pool) Retune(streams int, idle, dial, silent time.Duration) {
+	p.limits.Streams, p.limits.Idle, p.limits.Dial, p.limits.Silent = streams, idle, dial, silent
+	p.due = 0
+}
+
+// Probe asks a node for a sign of life, and Probed tells what came. The protocol has no word for it: a connection that is up,
+// or that comes up, is the sign. Where none may be opened the answer comes at once and tells nothing.
+func (p *Pool) Probe(id broker.NodeID) {
+	n := p.nodes[id]
+	if n == nil {
+		p.Probed(id, broker.ConnectFailed, 0)
+		return
+	}
+	var rising *conn
+	for _, c := range n.conns {
+		switch {
+		case c.addr != n.addr || c.retired:
+		case c.up != nil:
+			p.Probed(id, broker.OK, 0)
+			return
+		default:
+			rising = c
+		}
+	}
+	if rising == nil && p.conns >= p.limits.Conns {
+		p.Probed(id, broker.OK, 0)
+		return
+	}
+	if rising == nil {
+		rising = p.dial(n)
+	}
+	rising.probed = true
+}
+
+// shown ends a probe that waits for the connection.
+func (p *Pool) shown(c *conn, how broker.Outcome, at time.Duration) {
+	if c.probed {
+		c.probed = false
+		p.Probed(c.node.id, how, at-c.dialed)
+	}
+}
+
 // Drop takes a node out that the list ended. What is out carries on; then it is forgotten.
 func (p *Pool) Drop(id broker.NodeID) {
 	if n := p.nodes[id]; n != nil {
@@ -279,17 +324,18 @@
 		c.cancel = p.carry(n.name, n.addr, Handle{c})
 		return c
 	}
+	within := p.limits.Dial
 	p.start(func() error {
 		defer cancel()
-		p.read(ctx, c)
+		p.read(ctx, c, within)
 		return nil
 	})
 	return c
 }
 
 // read is a connection's goroutine: it dials, then delivers every answer and at last the end.
-func (p *Pool) read(ctx context.Context, c *conn) {
-	nc, err := p.open(ctx, c.addr.String(), p.limits.Dial)
+func (p *Pool) read(ctx context.Context, c *conn, within time.Duration) {
+	nc, err := p.open(ctx, c.addr.String(), within)
 	if err != nil {
 		p.post(Event{conn: c, kind: down, at: p.since(), err: err})
 		return
@@ -304,7 +350,7 @@
 		var rest []byte
 		if _, err = r.Peek(1); err == nil {
 			// Danger: a length that never fills swallows what else comes, and all that is out waits in vain.
-			nc.SetReadDeadline(time.Now().Add(p.limits.Dial))
+			nc.SetReadDeadline(time.Now().Add(within))
 			letter, rest, err = readFrame(r)
 			nc.SetReadDeadline(time.Time{})
 		}
@@ -339,6 +385,7 @@
 			return
 		}
 		c.up, c.last = e.up, e.at
+		p.shown(c, broker.OK, e.at)
 		queue := c.queue
 		c.queue = nil
 		for _, parts := range queue {
@@ -547,6 +594,7 @@
 // drop takes a connection off the books; its parts end as the protocol says.
 func (p *Pool) drop(c *conn, at time.Duration) {
 	c.closed = true
+	p.shown(c, broker.ConnectFailed, at)
 	p.conns--
 	c.node.conns = slices.DeleteFunc(c.node.conns, func(o *conn) bool { return o == c })
 	for c.out.len() > 0 {
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -239,7 +239,7 @@
 		BatchParts:   max(1, p.count("domain.partsACall", false, 1)),
 
 		Cancels:       p.flag("permissions.cancel"),
-		Probes:        p.flag("permissions.probes") && !p.sockets, // no form on sockets yet
+		Probes:        p.flag("permissions.probes"),
 		Idle:          f.Idle,
 		SecondCopies:  p.flag("permissions.secondCopies"),
 		MaxRetryAfter: p.span("permissions.maxRetryAfterNs", false),
@@ -262,6 +262,9 @@
 	default:
 		p.fail("countedBy", "unknown form %q", by)
 	}
+	if p.sockets && t.ExtraWindow == 0 && (t.ExtraFloor > 0 || t.ExtraShare > 0) {
+		p.fail("safety.lookBackNs", "missing, and without it the budget would not hold")
+	}
 	if !p.flag("permissions.retryAfter") {
 		t.MaxRetryAfter = 0
 	}
@@ -301,6 +304,12 @@
 		default:
 			p.fail(at+"effect", "unknown form %q", effect)
 		}
+		if p.sockets && c.Effect == broker.Tokened && c.Window <= 0 {
+			p.fail(at+"windowNs", "missing, and nothing tells how long repeats are dropped")
+		}
+		if p.sockets && (c.Floor > c.Need || c.Need > 1) {
+			p.fail("domain.classFloor", "%v of %v that make a whole answer", c.Floor, c.Need)
+		}
 		if p.sockets && (c.Target <= 0 || c.Timeout < c.Target) {
 			p.fail(at+"aimNs", "%v, with a client timeout of %v", c.Target, c.Timeout)
 		}
