--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -70,7 +70,8 @@
 	taken, extras []time.Duration
 	asked         time.Duration
 	bad           string
-	moved         uint64 // the last id given before the layout changed
+	probed        []broker.NodeID // probes that are out
+	moved         uint64          // the last id given before the layout changed
 }
 
 func newRig(t broker.Terms, nodes int) *rig {
@@ -184,6 +185,11 @@
 			r.end(try{a.ID, a.Attempt}, broker.Cancelled)
 		case broker.Shed, broker.Fail, broker.Answer:
 			r.checkFinal(a)
+		case broker.Probe:
+			if slices.Contains(r.probed, a.Node) {
+				r.fault("%v is probed twice at once", a.Node)
+			}
+			r.probed = append(r.probed, a.Node)
 		case broker.Subscribe:
 			if r.now < r.asked+200*ms && r.now > 0 {
 				r.fault("the list is asked again after %v", r.now-r.asked)
@@ -275,6 +281,17 @@
 	}
 }
 
+// show ends the probes that are out where the node fits; the others stay out.
+func (r *rig) show(how broker.Outcome, fits func(broker.NodeID) bool) {
+	r.probed = slices.DeleteFunc(r.probed, func(id broker.NodeID) bool {
+		over := fits(id)
+		if over {
+			r.events = append(r.events, broker.Event{Kind: broker.Probed, Node: id, Outcome: how, Took: ms})
+		}
+		return over
+	})
+}
+
 // random plays one random step: searches, outcomes, list changes, clients that leave, a clock that jumps.
 func (r *rig) random(rnd *rand.Rand, nodes int) {
 	for range rnd.Intn(4) {
@@ -286,6 +303,7 @@
 			r.end(k, broker.Outcome(rnd.Intn(8)))
 		}
 	}
+	r.show([]broker.Outcome{broker.OK, broker.OK, broker.TimedOut}[rnd.Intn(3)], func(broker.NodeID) bool { return rnd.Intn(3) == 0 })
 	if rnd.Intn(20) == 0 {
 		e := broker.Entry{Node: nodeID(rnd.Intn(nodes)), State: broker.ListState(rnd.Intn(3)), Boot: broker.NoBoot}
 		if e.Cell = int(e.Node.Addr[3]) % r.t.Cells; rnd.Intn(2) == 0 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -24,6 +24,7 @@
 		terms.Types = append(terms.Types, tokened, once, twoSteps)
 		terms.SecondCopies, terms.Cancels, terms.AskList = rnd.Intn(4) > 0, rnd.Intn(4) > 0, rnd.Intn(2) > 0
 		terms.Width, terms.BatchParts = 1+rnd.Intn(2), 1+rnd.Intn(3)
+		terms.Probes, terms.ByWork, terms.Idle = rnd.Intn(2) > 0, rnd.Intn(2) > 0, time.Second
 		if rnd.Intn(2) == 0 {
 			terms.ExtraFloor, terms.ExtraShare, terms.ExtraWindow = 2, 0.05, time.Second
 		}
--- /dev/null
+++ b/logic/move_test.go
@@ -0,0 +1,114 @@
+package logic
+
+import (
+	"testing"
+	"time"
+
+	"flaxfront/broker"
+)
+
+// Where nodes may be probed, a part waits for a holder that shows life, and goes all the same once it has waited for long
+// (memphis-main, sillon-casa).
+func TestHoldersAreProbed(t *testing.T) {
+	terms := smallTerms()
+	terms.Probes = true
+	for _, answers := range []bool{true, false} {
+		r := newRig(terms, 6)
+		r.ask(0, 3*time.Second, 0)
+		a := r.step(5 * ms)
+		must(t, len(pick(a, broker.Send)) == 0 && len(pick(a, broker.Probe)) == 3, "probes to the three holders: %v", a)
+		quick := r.probed[1]
+		if answers {
+			r.show(broker.OK, func(id broker.NodeID) bool { return id == quick })
+			a = r.step(5 * ms)
+			must(t, len(pick(a, broker.Send)) == 1 && a[0].Node == quick, "sent to the one that answered: %v", a)
+			r.endWhere(broker.OK, 0, nil)
+			r.step(5 * ms)
+			r.ask(0, 3*time.Second, 0)
+			a = r.step(5 * ms)
+			must(t, len(pick(a, broker.Probe)) == 0 && len(pick(a, broker.Send)) == 1, "it was heard just now: %v", a)
+			continue
+		}
+		for r.now < 5*ms+vouchWait {
+			must(t, len(r.order) == 0, "sent at %v, before any holder answered", r.now)
+			r.step(5 * ms)
+		}
+		must(t, len(r.order) == 1 && r.bad == "", "sent once it has waited: %s", r.bad)
+	}
+}
+
+// In a ring each node is a cell of its own; one that leaves probes unanswered is avoided by all shards that it holds.
+func TestRing(t *testing.T) {
+	terms := smallTerms()
+	terms.Probes, terms.Cells, terms.Width = true, 9, 3
+	r := newRig(terms, 9)
+	deaf := nodeID(4)
+	for i := range 200 {
+		r.ask(0, 3*time.Second, i%9, (i+1)%9)
+		for range 4 {
+			r.show(broker.TimedOut, func(id broker.NodeID) bool { return id == deaf })
+			r.show(broker.OK, func(broker.NodeID) bool { return true })
+			r.endWhere(broker.OK, 40*ms, nil)
+			r.step(20 * ms)
+		}
+		r.step(500 * ms)
+	}
+	must(t, len(r.sends[deaf]) < len(r.sends[nodeID(7)])/4 && r.bad == "", "%d sent to a node that answers no probe, %d to another: %s",
+		len(r.sends[deaf]), len(r.sends[nodeID(7)]), r.bad)
+}
+
+// A search that lacks more parts than the budget lets be sent again gets its answer at once, with a time to come back, and what is
+// left of the budget goes to one that it can save.
+func TestBeyondTheBudget(t *testing.T) {
+	terms := smallTerms()
+	terms.ExtraFloor, terms.ExtraWindow = 2, 10*time.Second
+	r := newRig(terms, 12)
+	r.ask(0, 3*time.Second, 0, 1, 2, 3)
+	r.step(5 * ms)
+	for _, k := range r.order[:3] {
+		r.end(k, broker.ConnectFailed)
+	}
+	a := r.step(5 * ms)
+	shed := pick(a, broker.Shed)
+	must(t, len(shed) == 1 && shed[0].After > 0 && len(pick(a, broker.Send)) == 0, "given up at once: %v", a)
+	r.step(5 * ms)
+	r.ask(0, 3*time.Second, 0, 1)
+	r.step(5 * ms)
+	for _, k := range r.order {
+		r.end(k, broker.ConnectFailed)
+	}
+	must(t, len(pick(r.step(5*ms), broker.Send)) == 2 && r.bad == "", "the next one is sent again: %s", r.bad)
+}
+
+// The first of two steps ends early enough for the second, and the second is not refused.
+func TestTwoStepsInTime(t *testing.T) {
+	terms := smallTerms()
+	terms.Types[1].Fetch = 2
+	r := newRig(terms, 6)
+	r.ask(1, 4*time.Second, 0, 1)
+	r.step(0)
+	r.end(r.order[0], broker.OK)
+	early := r.l.desk.p95
+	for len(pick(r.actions, broker.Answer)) == 0 && r.now < 3*time.Second {
+		r.step(5 * ms)
+	}
+	must(t, r.now <= 2*time.Second-margin-early+5*ms, "the first step ended at %v", r.now)
+	r.l.desk.slopes[0] = slope{of: float64(20 * time.Second), at: r.now}
+	must(t, len(pick(r.step(5*ms), broker.Send)) == 2, "the second step is sent")
+	r.endWhere(broker.OK, 0, nil)
+	a := pick(r.step(5*ms), broker.Answer)
+	must(t, len(a) == 1 && !a[0].Whole && r.bad == "", "its answer: %v %s", a, r.bad)
+}
+
+// A tokened part is copied while repeats of it are dropped, and not after.
+func TestTokenedCopies(t *testing.T) {
+	for _, window := range []time.Duration{time.Second, 100 * ms} {
+		terms := smallTerms()
+		terms.Types[0].Effect, terms.Types[0].Window = broker.Tokened, window
+		r := newRig(terms, 6)
+		r.ask(0, 3*time.Second, 0)
+		r.step(0)
+		r.step(600 * ms)
+		must(t, (len(r.order) == 2) == (window == time.Second) && r.bad == "", "%d out, window %v: %s", len(r.order), window, r.bad)
+	}
+}
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -115,6 +115,7 @@
 		"missing":             frame(1, "a=b", sel, record(evNew, uint64(1), uint32(0), uint32(3))),
 		"sheet 5 was never":   append(start(), frame(60, "", sel, noSheet)...),
 		"unknown outcome 300": append(start(), frame(60, "", sel, badOutcome)...),
+		"ProbeDone":           append(start(), frame(60, "", sel, record(evProbeDone, uint32(1), uint16(0), uint64(1), uint16(300)))...),
 	} {
 		if _, _, err := serve(input); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("want %q, got %v", want, err)
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -156,6 +156,9 @@
 			func(p *Part, how broker.Outcome, _ time.Duration, value string) {
 				b.ends = append(b.ends, fmt.Sprintf("%s %d%s", p.ID, how, value))
 			})
+		b.Probed = func(id broker.NodeID, how broker.Outcome, took time.Duration) {
+			b.ends = append(b.ends, fmt.Sprintf("probe %d %d %v", id.Port, how, took))
+		}
 		b.Point(at, "s-7", netip.MustParseAddrPort("127.0.0.1:7"), broker.NoBoot)
 		test(b)
 		cancel()
@@ -471,6 +474,32 @@
 	})
 }
 
+// A probe is answered once, by a connection that is up, that comes up or that fails to.
+func TestProbe(t *testing.T) {
+	run(t, Limits{Streams: 1, Idle: time.Minute, Dial: time.Second, Silent: time.Minute, Conns: 2}, func(b *bench) {
+		b.hold = 20 * time.Millisecond
+		b.Probe(at)
+		b.settle()
+		b.expect()
+		time.Sleep(b.hold)
+		b.settle()
+		b.expect("probe 7 1 20ms")
+		b.Probe(at)
+		b.expect("probe 7 1 0s")
+		b.Point(at, "s-7", netip.MustParseAddrPort("127.0.0.1:17"), broker.NoBoot)
+		b.hold = 2 * time.Second
+		b.Probe(at)
+		time.Sleep(time.Second)
+		b.settle()
+		b.expect("probe 7 4 1s")
+		b.Probe(at)
+		b.Probe(broker.NodeID{Port: 9}) // never listed
+		b.Drop(at)
+		b.Sweep(time.Hour)
+		b.expect("probe 7 4 0s", "probe 9 4 0s")
+	})
+}
+
 // A write to a node that reads nothing comes back at once, with what the kernel took.
 func TestTCPWriteNeverWaits(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
