--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,6 +44,7 @@
 	loadStep, loadFade   = 0.1, 4 * time.Second // weight of one latency in a set's record; its memory
 	shedLow, shedHigh    = 0.5, 0.75            // expected wait over time left: refusing starts and is complete
 	worthBias, meanStep  = 0.2, 0.02            // how strongly a search worth less a part goes first
+	fullStep, fullWeight = 0.03, 50             // share of parts turned away; refusal is the stricter
 	repeatSlack, eps     = 20 * time.Millisecond, 5e-5
 	lateWeight, overRate = 4, 1.3 // a late search has so much less time; beyond its share: over the usual
 	rateFast, rateSlow   = 3 * time.Second, 20 * time.Second
@@ -116,9 +117,8 @@
 	case ended:
 		n.ended(k)
 	case tick:
-		// Danger: a node that takes parts and answers none, for any reason: since it was last heard its calls
-		// together have waited several times what is usual. It may hurt when a whole fleet stops at once. It may
-		// be a connection that fell silent: before, and once until the node is heard, a fresh one is tried.
+		// Danger: a node that takes parts and answers none: its calls together have waited several times what is
+		// usual. It may hurt when all stop at once. Before, once until it is heard, a fresh connection is tried.
 		wait := min(k.took, now-n.heard)
 		n.unheard += time.Duration(k.calls) * min(now-n.ticked, wait)
 		if n.renewed <= n.heard && n.unheard > renewAt*n.l.desk.p95 {
@@ -158,7 +158,6 @@
 	case broker.Errored, broker.Reset:
 		// Danger: where answers break from all nodes alike, each looks sick by turns, and shutting some crowds the
 		// others. A node must stand out from half of the fleet; the parts of one broken connection count once.
-		// It may hurt by a few parts more where most nodes turn sick at once.
 		n.heard, n.unheard = now, 0
 		if n.failed != now {
 			n.doubt, n.failed = n.doubt+doubtStep*(1-n.doubt), now
@@ -285,6 +284,7 @@
 	}
 	switch e.Outcome {
 	case broker.OK:
+		d.full(0)
 		d.stale(a, 0)
 		if p.done {
 			return
@@ -294,15 +294,17 @@
 		d.heed(p, a, e.Took)
 		d.cancel(p)
 		return
-	case broker.Refused, broker.ConnectFailed, broker.NeverSent:
+	case broker.Refused:
+		d.full(1)
+	case broker.ConnectFailed, broker.NeverSent:
 	default:
 		p.risk(a.at)
 		if e.Outcome == broker.Reset && e.Took < d.p50/cutQuick {
 			d.stale(a, 1)
 		}
 	}
-	// Danger: more answers get lost, in any way, than the cap pays for, and searches die of it while nodes idle.
-	// Where the set is not crowded, what broke makes good its own resend. It may hurt where the search harms.
+	// Danger: more answers get lost than the cap pays for, and searches die of it while nodes idle. Where the
+	// holders are not crowded, what broke makes good its own resend. It may hurt where the search harms.
 	if e.Outcome != broker.Refused && !d.crowded(p) {
 		d.tokens, p.resent = min(capDepth, d.tokens+1), false
 	}
@@ -314,6 +316,13 @@
 	return max(float64(d.p50), d.fresh(k.took, k.at)) > crowdMost*float64(d.base)
 }
 
+// full learns what share of parts is turned away. Danger: latencies tell only of what was served; where
+// queues are full, searches that fail keep them so. It may hurt where few are full.
+func (d *desk) full(share float64) {
+	d.turned *= kept(d.l.now-d.turnedAt, loadFade)
+	d.turned, d.turnedAt = d.turned+fullStep*(share-d.turned), d.l.now
+}
+
 // stale learns of connections cut while they idle. Danger: the next part breaks, or is lost without a word:
 // most parts of a broker with little traffic. While parts over connections that idled fail far more often
 // than over fresh ones, such connections are closed before use. It may hurt by handshakes for other causes.
@@ -331,7 +340,7 @@
 	d.idleMost = min(d.idleMost, a.idle)
 	if d.cut > cutOn && d.cut > cutMore*d.fail && d.l.now >= d.cutUntil {
 		d.cutUntil = d.l.now + cutFor
-		d.l.logf("idle connections are cut: %.2f failed after %v or more, %.2f of fresh", d.cut, d.idleMost, d.fail)
+		d.l.logf("idle connections are cut: %.2f fail after %v, %.2f of fresh", d.cut, d.idleMost, d.fail)
 	}
 }
 
@@ -358,8 +367,8 @@
 	}
 }
 
-// learned draws the quantiles anew, now and then, when a search ends. Danger: the answers that came so far of a search with
-// many parts are its quickest, and all others of it would be copied by their p95.
+// learned draws the quantiles anew when a search ends. Danger: the first answers of a search with many parts
+// are its quickest, and all others of it would be copied by their p95.
 func (d *desk) learned() {
 	if s := d.latest(); len(s) >= fewSamples {
 		d.p50, d.p95 = s[len(s)/2], s[int(copyQuantile*float64(len(s)))]
@@ -475,7 +484,7 @@
 	if left <= 0 { // its target has passed: it gives way to those that can still earn their full value
 		left = (s.last - l.now) / lateWeight
 	}
-	scale := bias / float64(max(1, left))
+	scale := bias / float64(max(1, left)) * (1 + fullWeight*d.turned*kept(l.now-d.turnedAt, loadFade))
 	worst, share, bar := 0.0, 0.0, shedLow+l.rand()*(shedHigh-shedLow)
 	for i := range s.parts {
 		p := &s.parts[i]
@@ -499,8 +508,8 @@
 	return share < s.typ.Floor-eps
 }
 
-// wait is the latency expected of a part sent to a node: by the record of its holders, and no less than what the
-// second oldest of the node's calls has waited (the oldest may be stuck alone).
+// wait is the latency expected of a part sent to a node: by the record of its holders, and no less than what
+// the second oldest of the node's calls has waited (the oldest may be stuck alone).
 func (d *desk) wait(p *part, at int32) float64 {
 	b, k := &d.board[at], d.setOf(p.shard)
 	age := time.Duration(0)
@@ -510,10 +519,9 @@
 	return max(d.fresh(k.of, k.at)*(d.load(p.shard)+1), float64(age))
 }
 
-// owed are the calls that the node may still answer in its turn. Danger: what a node swallowed while it hung is out until its
-// clients give up. It answers what it is sent now, and is called silent, slow and crowded for what is lost; where many hung
-// together all stay shut for seconds after. A call is lost once one sent well after it was answered. It may hurt where a
-// node works on one part that long and on others meanwhile: that part no longer tells against it.
+// owed are the calls that the node may still answer in its turn. Danger: what it swallowed while it hung is
+// out until clients give up, and it is called silent and slow for what is lost. A call is lost once one sent
+// well after it was answered. It may hurt where a node works on one part that long and on others meanwhile.
 func (b *seat) owed() []call {
 	i := 0
 	for i < len(b.calls) && b.calls[i].at < b.proved-silentLeast {
@@ -532,11 +540,9 @@
 // (danger: in a crowded set all nodes look sick, and shutting some crowds the others).
 func (l *Logic) usual(n *node) time.Duration {
 	sum, like := time.Duration(0), time.Duration(0)
-	for j := 1 - l.t.Width; j < l.t.Width; j++ {
-		for _, at := range l.desk.cells[((n.cell+j)%l.t.Cells+l.t.Cells)%l.t.Cells] {
-			if o := l.nodes[at]; o != n && o.told.mode == fit {
-				sum, like = sum+o.lat, like+1
-			}
+	for _, at := range l.desk.kin(n.cell) {
+		if o := l.nodes[at]; o != n && o.told.mode == fit {
+			sum, like = sum+o.lat, like+1
 		}
 	}
 	return max(l.desk.p50, sum/max(1, like))
@@ -551,11 +557,12 @@
 	r, q := &d.rates[tenant], &l.t.Tenants[tenant]
 	r.decay(l.now)
 	// Danger: to a broker with little traffic a lone search looks like a burst of its tenant.
-	return r.fast-1/rateFast.Seconds() > max(q.Quota/float64(l.t.Brokers), overRate*q.Portion*d.total.usual(l.now))
+	most := max(q.Quota/float64(l.t.Brokers), overRate*q.Portion*d.total.usual(l.now))
+	return r.fast-1/rateFast.Seconds() > most
 }
 
-// ride finds a call of this turn to a node where the part's row of holders begins that can take another part, or picks a
-// node. In a ring others could take it too; but calls that gather all they can make every hung node cost a search more.
+// ride finds a call of this turn that can take the part too, to a node where its row of holders begins, or
+// picks a node. While all are crowded any holder will do; else a hung node costs a search all that ride.
 func (d *desk) ride(s *search, i int) int32 {
 	p, among := &s.parts[i], d.cells[s.parts[i].shard%d.l.t.Cells]
 	if d.crowded(p) {
@@ -603,10 +610,7 @@
 			continue
 		}
 		slow := max(b.slow, 1+(limpMost-1)*b.deaf)
-		if d.zones[b.zone].shunned {
-			slow = limpMost
-		}
-		if stale {
+		if stale || d.zones[b.zone].shunned {
 			slow = limpMost
 		}
 		cost := slow * float64(len(b.calls)+1)
@@ -637,9 +641,9 @@
 	return best
 }
 
-// ask probes the holders of a search's parts that have not shown a sign of life lately. Danger: what a broker
-// with little traffic knows of a node is older than most troubles, and a search of many parts meets each of them.
-// Its parts wait a moment for a holder that answers. It may hurt by a probe a part.
+// ask probes the holders of a search's parts that showed no life lately; parts wait a moment for one that
+// does. Danger: what a broker with little traffic knows of a node is older than most troubles, and a search
+// of many parts meets each of them. It may hurt by a probe a part.
 func (d *desk) ask(s *search) {
 	l := d.l
 	if !l.t.Probes {
@@ -722,8 +726,8 @@
 
 // mayEase tells whether a node that is eased in may be sent another call. Danger: a saved list does not tell
 // who has just started or left; all brokers that come back together would push cold nodes over, and wait in
-// vain at those that are gone. Such a node has one call out; each answer allows a little more, so that what it
-// is sent follows what it does. Where one call from each broker is too much, the first ones are spread.
+// vain at those that are gone. Such a node has one call out; each answer allows a little more. Where one call
+// from each broker is too much, the first ones are spread.
 func (d *desk) mayEase(b *seat) bool {
 	spread := d.calm() - d.l.t.FallAfter
 	if b.last <= b.eased && float64(d.l.now-b.eased) < b.lot*float64(spread) || d.l.now < b.rest {
@@ -739,8 +743,7 @@
 	return time.Duration(float64(t.Brokers) * float64(d.base) / share)
 }
 
-// widen lets what a node that is eased in may have out follow what it does. What it turns away presses on it as
-// well, and comes back at once: after that it rests.
+// widen lets what an eased node may have out follow what it does. After what it turns away it rests.
 func (d *desk) widen(b *seat, e *broker.Event) {
 	switch t := d.l.t; {
 	case b.eased == 0:
@@ -788,11 +791,8 @@
 	dear := t.ExtraWindow > 0 && float64(len(s.parts)-s.in) > d.afford(l.now)
 	for i := range s.parts {
 		p := &s.parts[i]
-		if p.done || p.dead {
-			continue
-		}
-		if over || len(p.tries) == 0 || s.moved {
-			p.dead = over || s.moved && p.live == 0
+		if p.done || p.dead || over || len(p.tries) == 0 || s.moved {
+			p.dead = p.dead || over || s.moved && p.live == 0
 			continue
 		}
 		inTime := l.now+d.p50 <= s.deadline && len(p.tries) < t.MaxAttempts
@@ -802,7 +802,7 @@
 				continue
 			}
 		} else {
-			if p.copied || !inTime || !t.SecondCopies || !d.mayCopy(s, p) || p.live > 1 {
+			if p.copied || !inTime || !t.SecondCopies || !d.mayRepeat(s, p) || p.live > 1 {
 				continue
 			}
 			a := p.tries[len(p.tries)-1]
@@ -837,14 +837,19 @@
 	}
 }
 
-// mayRepeat tells whether a part whose sub-requests have all ended may be sent again (rule 2).
+// mayRepeat tells whether a part may be sent again, beside what is out or after all has ended (rule 2).
 func (d *desk) mayRepeat(s *search, p *part) bool {
-	effect, inWindow := s.typ.Effect, d.l.now <= p.firstRisk+s.typ.Window
-	return !p.mayRun || effect == broker.Idempotent || effect == broker.Tokened && inWindow
+	risk := p.firstRisk
+	if p.live > 0 {
+		risk = p.tries[0].at
+	} else if !p.mayRun {
+		return true
+	}
+	return s.typ.Effect == broker.Idempotent || s.typ.Effect == broker.Tokened && d.l.now <= risk+s.typ.Window
 }
 
-// beyond tells whether a search lacks more parts than the budget lets be sent again in time. Danger: what is left of
-// it goes to searches that fail all the same, and their clients ask again too late.
+// beyond tells whether a search lacks more parts than the budget lets be sent again in time. Danger: what is
+// left of it goes to searches that fail all the same, and their clients ask again too late.
 func (d *desk) beyond(s *search) bool {
 	if d.l.t.ExtraWindow == 0 {
 		return false
@@ -860,10 +865,5 @@
 	return lost > have && s.got+s.open()-weight*(1-have/lost) < least-eps
 }
 
-// mayCopy tells whether a part that is out may be sent once more beside it (rule 2).
-func (d *desk) mayCopy(s *search, p *part) bool {
-	return s.typ.Effect == broker.Idempotent || s.typ.Effect == broker.Tokened && d.l.now <= p.tries[0].at+s.typ.Window
-}
-
 // inBudget keeps rule 6: further sub-requests in the window, this one included.
 func (d *desk) inBudget() bool { return d.l.t.ExtraWindow == 0 || d.afford(d.l.now-d.l.t.Step) >= 1 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -315,8 +315,10 @@
 	slopes       []slope       // of each cell
 	value, parts float64       // of a search, on average
 	weighed      float64       // searches in that
-	lengths      []majority    // the usual length of a try, by type
-	short        bool          // of places
+	turned       float64       // share of parts that are turned away, lately
+	turnedAt     time.Duration
+	lengths      []majority // the usual length of a try, by type
+	short        bool       // of places
 	rates        []rate
 	zones        []zone
 	alike        bool          // parts break from all nodes alike
@@ -471,10 +473,14 @@
 	return d.holders
 }
 
-// holds tells whether nodes of the cell hold the shard.
-func (d *desk) holds(cell, shard int) bool {
+// kin lists the nodes that share a shard with those of a cell.
+func (d *desk) kin(cell int) []int32 {
+	d.holders = d.holders[:0]
 	cells := d.l.t.Cells
-	return ((cell-shard)%cells+cells)%cells < d.l.t.Width
+	for j := 1 - d.l.t.Width; j < d.l.t.Width; j++ {
+		d.holders = append(d.holders, d.cells[((cell+j)%cells+cells)%cells]...)
+	}
+	return d.holders
 }
 
 // like is how many nodes neither cold nor distrusted hold a shard.
