--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,10 +33,9 @@
 
 	darkPace, flapWithin, shareAll = 500 * time.Millisecond, 2 * time.Second, 0.08 // all shut; anew; alike
 
-	rumourMany, rumourFade      = 1.5, 4 * time.Second       // sick by the word of so many
-	zoneStep, zoneBad, zoneFade = 0.1, 0.5, 20 * time.Second // share of a zone's parts that fails
-	coldSafety, coldSpread      = 0.6, 1.6                   // of the rule's limit; of the usual flow
-	easeStep                    = 0.25                       // calls more for an answer, at FallMultiple 2
+	rumourMany, rumourFade           = 1.5, 4 * time.Second       // sick by the word of so many
+	zoneStep, zoneBad, zoneFade      = 0.1, 0.5, 20 * time.Second // share of a zone's parts that fails
+	coldSafety, coldSpread, easeStep = 0.6, 1.6, 0.25             // of the rule's limit; of the usual flow; calls more an answer
 
 	cutStep, cutOn, cutMore, cutQuick = 0.05, 0.3, 4.0, 16 // share that fails; times the fresh; part of p50
 	idleLeast, cutFor                 = 200 * time.Millisecond, 20 * time.Second
@@ -44,7 +43,7 @@
 	loadStep, loadFade   = 0.1, 4 * time.Second // weight of one latency in a set's record; its memory
 	shedLow, shedHigh    = 0.5, 0.75            // expected wait over time left: refusing starts and is complete
 	worthBias, meanStep  = 0.2, 0.02            // how strongly a search worth less a part goes first
-	fullStep, fullWeight = 0.03, 50             // share of parts turned away; refusal is the stricter
+	fullStep, fullWeight = 0.03, 50.0           // share of parts turned away; how much refusal is stricter
 	repeatSlack, eps     = 20 * time.Millisecond, 5e-5
 	lateWeight, overRate = 4, 1.3 // a late search has so much less time; beyond its share: over the usual
 	rateFast, rateSlow   = 3 * time.Second, 20 * time.Second
@@ -52,7 +51,7 @@
 
 	none, later int32 = -1, -2 // no node for a part; none yet
 
-	tieBreak, deafStep  = 0.01, 0.5
+	tieBreak, deafStep  = 0.01, 0.5                                      // connections to be opened; weight of one probe unanswered
 	vouchFor, vouchWait = 500 * time.Millisecond, 200 * time.Millisecond // a sign of life holds; is waited for
 )
 
@@ -317,7 +316,7 @@
 }
 
 // full learns what share of parts is turned away. Danger: latencies tell only of what was served; where
-// queues are full, searches that fail keep them so. It may hurt where few are full.
+// queues are full, searches that fail keep them so. It may hurt where few are full; a lone one may drain.
 func (d *desk) full(share float64) {
 	d.turned *= kept(d.l.now-d.turnedAt, loadFade)
 	d.turned, d.turnedAt = d.turned+fullStep*(share-d.turned), d.l.now
@@ -484,7 +483,8 @@
 	if left <= 0 { // its target has passed: it gives way to those that can still earn their full value
 		left = (s.last - l.now) / lateWeight
 	}
-	scale := bias / float64(max(1, left)) * (1 + fullWeight*d.turned*kept(l.now-d.turnedAt, loadFade))
+	scale := bias / float64(max(1, left))
+	scale *= 1 + fullWeight*max(0, d.turned*kept(l.now-d.turnedAt, loadFade)-fullStep)
 	worst, share, bar := 0.0, 0.0, shedLow+l.rand()*(shedHigh-shedLow)
 	for i := range s.parts {
 		p := &s.parts[i]
