--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,9 +33,10 @@
 
 	darkPace, flapWithin, shareAll = 500 * time.Millisecond, 2 * time.Second, 0.08 // all shut; anew; alike
 
-	rumourMany, rumourFade           = 1.5, 4 * time.Second       // sick by the word of so many
-	zoneStep, zoneBad, zoneFade      = 0.1, 0.5, 20 * time.Second // share of a zone's parts that fails
-	coldSafety, coldSpread, easeStep = 0.6, 1.6, 0.25             // of the limit; of the usual flow; calls an answer
+	rumourMany, rumourFade      = 1.5, 4 * time.Second       // sick by the word of so many
+	zoneStep, zoneBad, zoneFade = 0.1, 0.5, 20 * time.Second // share of a zone's parts that fails
+
+	coldSafety, coldSpread, easeStep = 0.6, 1.6, 0.25 // of the rule's limit; of the usual flow; calls more an answer
 
 	cutStep, cutOn, cutMore, cutQuick = 0.05, 0.3, 4.0, 16 // share that fails; times the fresh; part of p50
 	idleLeast, cutFor                 = 200 * time.Millisecond, 20 * time.Second
@@ -51,7 +52,8 @@
 
 	none, later int32 = -1, -2 // no node for a part; none yet
 
-	tieBreak, deafStep  = 0.01, 0.5                                      // a connection is to be opened; one probe
+	tieBreak, deafStep = 0.01, 0.5 // a connection would have to be opened; weight of one probe unanswered
+
 	vouchFor, vouchWait = 500 * time.Millisecond, 200 * time.Millisecond // a sign of life holds; is waited for
 )
 
