--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,7 +36,7 @@
 	rumourMany, rumourFade      = 1.5, 4 * time.Second       // sick by the word of so many
 	zoneStep, zoneBad, zoneFade = 0.1, 0.5, 20 * time.Second // share of a zone's parts that fails
 
-	coldSafety, coldSpread, easeStep = 0.6, 1.6, 0.25 // of the rule's limit; of the usual flow; calls more an answer
+	coldSafety, coldSpread, easeStep = 0.6, 1.6, 0.25 // of the rule's limit; of the usual flow; calls an answer
 
 	cutStep, cutOn, cutMore, cutQuick = 0.05, 0.3, 4.0, 16 // share that fails; times the fresh; part of p50
 	idleLeast, cutFor                 = 200 * time.Millisecond, 20 * time.Second
