--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,10 +41,11 @@
 	cutStep, cutOn, cutMore, cutQuick = 0.05, 0.3, 4.0, 16 // share that fails; times the fresh; part of p50
 	idleLeast, cutFor                 = 200 * time.Millisecond, 20 * time.Second
 
-	loadStep, loadFade   = 0.1, 4 * time.Second // weight of one latency in a set's record; its memory
-	shedLow, shedHigh    = 0.5, 0.75            // expected wait over time left: refusing starts and is complete
-	worthBias, meanStep  = 0.2, 0.02            // how strongly a search worth less a part goes first
-	fullStep, fullWeight = 0.03, 50.0           // share of parts turned away; how much refusal is stricter
+	loadStep, loadMost   = 0.1, 0.35       // weight of one latency in a record: of many, after a long time
+	loadFade             = 4 * time.Second // its memory
+	shedLow, shedHigh    = 0.5, 0.75       // expected wait over time left: refusing starts and is complete
+	worthBias, meanStep  = 0.2, 0.02       // how strongly a search worth less a part goes first
+	fullStep, fullWeight = 0.03, 50.0      // share of parts turned away; how much refusal is stricter
 	repeatSlack, eps     = 20 * time.Millisecond, 5e-5
 	lateWeight, overRate = 4, 1.3 // a late search has so much less time; beyond its share: over the usual
 	rateFast, rateSlow   = 3 * time.Second, 20 * time.Second
@@ -348,9 +349,8 @@
 // heed teaches the record of a part's holders the latency of a sub-request to one of them.
 func (d *desk) heed(p *part, a *attempt, took time.Duration) {
 	k := d.setOf(p.shard)
-	was := k.at
+	step := min(loadMost, max(loadStep, 1-kept(d.l.now-k.at, loadFade)))
 	k.of, k.took = d.fresh(k.of, k.at), d.fresh(k.took, k.at) // one latency after a long time is no crowd
-	step := min(0.35, max(loadStep, 1-kept(d.l.now-was, loadFade)))
 	k.of += step * (float64(took)/(a.load+1) - k.of)
 	k.took, k.at = k.took+step*(float64(took)-k.took), d.l.now
 }
