A move of discovery with other settings of the same layout keeps the list held

Found on a second reading: any change of settings that came with another discovery address emptied the node list, so that a new time to come back would have shed searches until the new service spoke. Now only another layout, or other query types' names with another discovery, count as another deployment. TestReload changes both at once and fails on the way before.

--- a/server/server.go
+++ b/server/server.go
@@ -143,7 +143,8 @@
 	var reader *discovery.Reader
 	if switched {
 		fixed = slices.Delete(fixed, at, at+1)
-		moved := s.asked != start.Discovery || have.Terms.Fingerprint() != start.Terms.Fingerprint()
+		elsewhere := s.asked != start.Discovery && !slices.Equal(have.Terms.Types, start.Terms.Types)
+		moved := elsewhere || have.Terms.Fingerprint() != start.Terms.Fingerprint()
 		if !known || !moved {
 			list = nil
 		}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -602,6 +602,7 @@
 	next := *s.start
 	next.Discovery = asks.Addr().(*net.TCPAddr).AddrPort()
 	next.Limits.Sockets = 1
+	next.Terms.Module.MaxRetryAfter = 5 * time.Second
 	bad := next
 	bad.Known = []byte("{}")
 	s.Reload(&bad, s.operator, nil)
@@ -617,7 +618,10 @@
 	if m, err := httpwire.ReadRequest(httpwire.NewReader(conn)); err != nil || m.Path != "/discovery/hosts" || m.Query != "" {
 		t.Errorf("the new service was asked %+v, %v", m, err)
 	}
-	if got := strings.Join(s.start.Differs(&next), " "); got != "limits" {
+	if m := dial(t, s).say(post("r3", body)); m.Status != 200 || s.Terms().Module.MaxRetryAfter != 5*time.Second {
+		t.Errorf("with another time to come back, on the list held: %d", m.Status)
+	}
+	if got := strings.Join(s.start.Differs(&next), " "); got != "limits settings" {
 		t.Errorf("only a restart takes over %q", got)
 	}
 	s.Reload(s.start, s.operator, nil)
