--- a/server/server_test.go
+++ b/server/server_test.go
@@ -602,7 +602,7 @@
 	next := *s.start
 	next.Discovery = asks.Addr().(*net.TCPAddr).AddrPort()
 	next.Limits.Sockets = 1
-	next.Terms.Module.MaxRetryAfter = 5 * time.Second
+	next.Terms.Module.MaxRetryAfter, next.Known = 5*time.Second, nil
 	bad := next
 	bad.Known = []byte("{}")
 	s.Reload(&bad, s.operator, nil)
