--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -138,7 +138,7 @@
 type Client struct {
 	mu        sync.Mutex
 	pending   string             // the address to move to; "" for none
-	next      *Reader            // what reads lists from there on; nil: the one that does
+	next      *Terms             // by which it is asked from there on; nil: as it is
 	interrupt context.CancelFunc // ends the call in hand
 
 	addr   string
@@ -158,6 +158,12 @@
 	failed bool         // the last call did, and that was told
 }
 
+// Terms are what other settings change in how discovery is asked.
+type Terms struct {
+	Reader Reader
+	Wait   time.Duration // the longest that it may hold a watch
+}
+
 // NewClient makes a client that holds a version already, or nothing (known false).
 func NewClient(addr string, reader Reader, wait time.Duration, held uint64, known bool,
 	tell func(*List, error)) *Client {
@@ -173,12 +179,12 @@
 
 // Move has discovery asked at another address from now on, even where a watch is held; that counts as an ask. The list
 // held stands until the new one has spoken. The new one may count its versions from anywhere, so that it is asked for
-// the whole list first. Lists are read by another reader from there on, if one is given.
-func (c *Client) Move(addr string, reader *Reader) {
+// the whole list first. It is asked by other terms from there on, if they are given.
+func (c *Client) Move(addr string, t *Terms) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending = addr; reader != nil {
-		c.next = reader
+	if c.pending = addr; t != nil {
+		c.next = t
 	}
 	if c.interrupt != nil {
 		c.interrupt()
@@ -201,7 +207,7 @@
 		c.hangUp("moved")
 		c.addr, c.pending, c.held, c.known = c.pending, "", 0, false
 		if c.next != nil {
-			c.reader, c.next = *c.next, nil
+			c.reader, c.wait, c.next = c.next.Reader, min(c.next.Wait, longestWait), nil
 		}
 	}
 	ctx, c.interrupt = context.WithCancel(ctx)
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -225,6 +226,61 @@
 	})
 }
 
+// Other terms hold from the next call on: a shorter watch, another layout.
+func TestMoveUnderOtherTerms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var told []string
+		c := NewClient("old", reader(), 20*time.Second, 0, false, func(l *List, err error) {
+			told = append(told, fmt.Sprint(l.Cells, err))
+		})
+		asked := make(chan string, 9)
+		c.dial = func(context.Context, string, string) (net.Conn, error) {
+			here, there := net.Pipe()
+			go func() {
+				defer there.Close()
+				for in := httpwire.NewReader(there); ; {
+					m, err := httpwire.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					if asked <- m.Query; m.Query != "" {
+						io.Copy(io.Discard, there)
+						return
+					}
+					there.Write(httpwire.AppendResponse(nil, 200, false, []byte(list(3, true))))
+				}
+			}()
+			return here, nil
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		go c.Run(ctx)
+		c.Ask()
+		synctest.Wait()
+		c.Ask()
+		synctest.Wait()
+		other := reader()
+		other.Cells += 4
+		c.Move("old", &Terms{other, 3 * time.Second})
+		synctest.Wait()
+		c.Ask()
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		close(asked)
+		var queries []string
+		for q := range asked {
+			queries = append(queries, q)
+		}
+		first, then := fmt.Sprint(reader().Cells, nil), fmt.Sprint(other.Cells, nil)
+		if got := strings.Join(queries, " "); got != " index=3&wait=20000  index=3&wait=3000" {
+			t.Errorf("asked %q", got)
+		}
+		if !slices.Equal(told, []string{first, then}) {
+			t.Errorf("told %q", told)
+		}
+	})
+}
+
 // paced is a client that asks again by itself, before stand-ins that are dialled by turns.
 func paced(t *testing.T, dial func(n int) (net.Conn, error)) (got *[]string, stop func()) {
 	c := NewClient("127.0.0.1:1", reader(), 20*time.Second, 0, false, nil)
--- a/logic/actors.go
+++ b/logic/actors.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash"
 	"hash/fnv"
+	"slices"
 	"time"
 )
 
@@ -132,6 +133,9 @@
 // hand are sent to no other node, and the front empties the node list first.
 func (l *Logic) Retune(t broker.Terms, moved bool) {
 	t.Seed = l.t.Seed
+	if t.ExtraWindow > l.t.ExtraWindow { // what was sent so long ago is not known: the stated few count as spent
+		l.desk.extras = append(l.desk.extras, slices.Repeat([]time.Duration{l.now}, int(t.ExtraFloor))...)
+	}
 	l.t = &t
 	for i := range t.Types {
 		l.longest = max(l.longest, t.Types[i].Timeout)
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -112,3 +112,21 @@
 		must(t, (len(r.order) == 2) == (window == time.Second) && r.bad == "", "%d out, window %v: %s", len(r.order), window, r.bad)
 	}
 }
+
+// A budget that comes into force while searches run does not give its stated few beside what was sent before.
+func TestBudgetComesIntoForce(t *testing.T) {
+	terms := smallTerms()
+	r := newRig(terms, 6)
+	r.t.ExtraFloor, r.t.ExtraWindow = 3, 2*time.Second
+	r.l.Retune(r.t, false)
+	for i, want := range []int{0, 1} {
+		r.ask(0, 3*time.Second, 0)
+		r.step(5 * ms)
+		for _, k := range r.order {
+			r.end(k, broker.ConnectFailed)
+		}
+		n := len(pick(r.step(5*ms), broker.Send))
+		must(t, n == want && r.bad == "", "search %d: %d sent further: %s", i, n, r.bad)
+		r.step(2500 * ms)
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -127,8 +127,9 @@
 func (s *Server) Reload(start *terms.Start, file *operator.File, err error) {
 	var list *discovery.List
 	var known bool
+	var reader discovery.Reader
 	if err == nil {
-		reader := discovery.Reader{Zones: start.Terms.Zones, Cells: start.Terms.Module.Cells, Start: s.loop.start}
+		reader = discovery.Reader{Zones: start.Terms.Zones, Cells: start.Terms.Module.Cells, Start: s.loop.start}
 		list, known, err = check(start, reader)
 	}
 	if err != nil {
@@ -140,7 +141,7 @@
 	fixed := have.Differs(start)
 	at := slices.Index(fixed, "settings")
 	switched := at >= 0 && s.tunable(&start.Terms)
-	var reader *discovery.Reader
+	var asked *discovery.Terms
 	if switched {
 		fixed = slices.Delete(fixed, at, at+1)
 		elsewhere := s.asked != start.Discovery && !slices.Equal(have.Terms.Types, start.Terms.Types)
@@ -149,13 +150,13 @@
 			list = nil
 		}
 		s.retune(&start.Terms, moved, list)
-		if moved {
-			reader = &discovery.Reader{Zones: start.Terms.Zones, Cells: start.Terms.Module.Cells, Start: s.loop.start}
+		if moved || have.Terms.AskEvery != start.Terms.AskEvery {
+			asked = &discovery.Terms{Reader: reader, Wait: start.Terms.AskEvery}
 		}
 	}
-	if fixed = append(fixed, s.operator.Differs(file)...); s.asked != start.Discovery || reader != nil {
+	if fixed = append(fixed, s.operator.Differs(file)...); s.asked != start.Discovery || asked != nil {
 		s.asked = start.Discovery
-		s.nodeList.Move(start.Discovery.String(), reader)
+		s.nodeList.Move(start.Discovery.String(), asked)
 	}
 	if s.keys != nil {
 		if err := s.keys.Reload(); err != nil {
