Calls to discovery are hedged, not given up: a busy service is heard in time

Ruled out: a silent service (each call that was kept was answered), the loop (the list is merged in the turn it comes), hand-over of the move (the call to the new address left within 2 ms). At fault: discovery/call.go, silentAfter = 1 s for a plain call: a request given up loses its place at a service that works in turn, costs it work all the same, and comes again behind the others. Also: logic askMost = 4 s (up to 6 s between calls, where a change counts as told 6 s after discovery could be reached), a dial of 4 s, a watch that broke told as a failure and asked again after up to 0.75 s, and a whole list of an older version refused although it counts as told once written.

Change: a request that is unanswered stays out up to 2.5 s while a hedge goes out beside it after 1.5 to 1.9 s; a refusal ends the hedging. A watch waits 1.5 to 3 s (2 to 4) and is overdue 0.8 s later (1). A broken watch is opened anew within 0.4 s. Pauses of the module: at most 1.5 s. A whole list is taken whatever its version.

TestMoveUnderOtherTerms moves from 3 to 2 s instead of 4 to 3, as a watch may no longer wait 4 s; TestPaced looks half a second earlier in one case, as the stand-in's watch is overdue earlier.

--- /dev/null
+++ b/discovery/busy_test.go
@@ -0,0 +1,191 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"flaxfront/httpwire"
+)
+
+// turns is a discovery that works through calls one after the other. A call that has waited too long by its turn is refused; one
+// whose caller has gone costs as much as any other.
+type turns struct {
+	mu    sync.Mutex
+	each  time.Duration
+	free  time.Time // when the calls so far are done
+	calls int
+}
+
+const refusedAfter = 2 * time.Second
+
+func (s *turns) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		defer far.Close()
+		for in := httpwire.NewReader(far); ; {
+			m, err := httpwire.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if m.Query != "" { // a watch, with nothing to tell
+				time.Sleep(time.Hour)
+				return
+			}
+			s.mu.Lock()
+			s.calls++
+			now := time.Now()
+			if s.free.Before(now) {
+				s.free = now
+			}
+			wait, status := s.free.Sub(now)+s.each, 200
+			if wait > refusedAfter {
+				wait, status = refusedAfter, 503
+			} else {
+				s.free = s.free.Add(s.each)
+			}
+			s.mu.Unlock()
+			time.Sleep(wait)
+			far.Write(httpwire.AppendResponse(nil, status, false, []byte(list(7, true))))
+		}
+	}()
+	return near, nil
+}
+
+// Brokers that move together keep the new service busy for a while. Each has the list in time, as none gives up its place in the
+// queue and comes again behind the others.
+func TestBusyServiceIsHeardInTime(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			const brokers = 7
+			s := &turns{each: 400 * time.Millisecond}
+			var mu sync.Mutex
+			had := map[int]time.Duration{}
+			ctx, cancel := context.WithCancel(t.Context())
+			begun := time.Now()
+			for i := range brokers {
+				var c *Client
+				backoff := 500 * time.Millisecond
+				c = NewClient("old", reader(), 10*time.Second, 0, false, func(l *List, err error) {
+					mu.Lock()
+					defer mu.Unlock()
+					if err != nil { // the module asks again
+						time.AfterFunc(backoff, c.Ask)
+						backoff = min(2*backoff, time.Second)
+					} else if _, before := had[i]; !before {
+						had[i] = time.Since(begun)
+					}
+				})
+				c.dial = s.dial
+				c.Move("new", nil)
+				go c.Run(ctx)
+			}
+			time.Sleep(countsAfterMove)
+			synctest.Wait()
+			mu.Lock()
+			if len(had) < brokers {
+				t.Errorf("%d of %d brokers had the list in time, by %d calls: %v", len(had), brokers, s.calls, had)
+			}
+			mu.Unlock()
+			cancel()
+			time.Sleep(3 * time.Hour)
+		})
+	}
+}
+
+// next is what comes within a time that no test should need.
+func next(t *testing.T, from <-chan string) string {
+	t.Helper()
+	select {
+	case got := <-from:
+		return got
+	case <-time.After(5 * time.Second):
+		t.Fatal("nothing came within 5 s")
+		return ""
+	}
+}
+
+// A watch that breaks is opened anew at once, and nobody hears of it; if that fails too it is an outage, which is told.
+func TestBrokenWatchIsOpenedAnew(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	asked := make(chan string, 100)
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			in := httpwire.NewReader(conn)
+			for {
+				m, err := httpwire.ReadRequest(in)
+				if err != nil {
+					break
+				}
+				asked <- m.Query
+				if n < 2 && m.Query != "" { // the first watch breaks, and so does the call after it
+					conn.(*net.TCPConn).SetLinger(0)
+					break
+				}
+				conn.Write(httpwire.AppendResponse(nil, 200, n == 2, []byte(list(41+n, true))))
+			}
+			conn.Close()
+		}
+	}()
+	told := make(chan string, 100)
+	c := NewClient(ln.Addr().String(), reader(), 3*time.Second, 0, false, func(l *List, err error) {
+		if err != nil {
+			told <- "failed"
+		} else {
+			told <- fmt.Sprint(l.Version)
+		}
+	})
+	c.lot = none
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- c.Run(ctx) }()
+	c.Ask()
+	for _, want := range []string{"", "index=41&wait=3000", "index=41&wait=0"} {
+		if got := next(t, asked); got != want {
+			t.Errorf("asked %q, want %q", got, want)
+		}
+	}
+	for _, want := range []string{"41", "failed"} { // the second connection broke as well
+		if got := next(t, told); got != want {
+			t.Errorf("told %s, want %s", got, want)
+		}
+	}
+	c.Ask()
+	if got := next(t, told); got != "43" {
+		t.Errorf("told %s, want 43", got)
+	}
+	cancel()
+	<-done
+}
+
+// A whole list counts from wherever its service does, also where it was a watch that brought it: what discovery has written is told.
+func TestWholeListOfAnOlderVersionIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var told []string
+		c := NewClient("d", reader(), 3*time.Second, 40, true, func(l *List, err error) {
+			told = append(told, fmt.Sprint(err, l != nil && l.Whole))
+		})
+		c.dial = func(context.Context, string, string) (net.Conn, error) { return answers(list(3, true)), nil }
+		ctx, cancel := context.WithCancel(t.Context())
+		go c.Run(ctx)
+		c.Ask()
+		synctest.Wait()
+		if fmt.Sprint(told) != "[<nil> true]" || c.held != 3 {
+			t.Errorf("told %q, version %d held", told, c.held)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/discovery/discovery_test.go
+++ b/discovery/client_test.go
@@ -164,7 +164,7 @@
 		synctest.Wait()
 		other := reader()
 		other.Cells += 4
-		c.Move("old", &Terms{other, 3 * time.Second})
+		c.Move("old", &Terms{other, 2 * time.Second})
 		synctest.Wait()
 		c.Ask()
 		synctest.Wait()
@@ -176,7 +176,7 @@
 			queries = append(queries, q)
 		}
 		first, then := fmt.Sprint(reader().Cells, nil), fmt.Sprint(other.Cells, nil)
-		if got := strings.Join(queries, " "); got != " index=3&wait=4000  index=3&wait=3000" {
+		if got := strings.Join(queries, " "); got != " index=3&wait=3000  index=3&wait=2000" {
 			t.Errorf("asked %q", got)
 		}
 		if !slices.Equal(told, []string{first, then}) {
--- a/discovery/errors.go
+++ b/discovery/errors.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"time"
 )
 
@@ -11,6 +13,16 @@
 // errSilent is why a call that was not answered in time was ended.
 var errSilent = errors.New("discovery says nothing")
 
+// broken tells whether a connection ended under a call, and discovery neither refused it nor answered what can't be used.
+func broken(err error) bool {
+	if errors.As(err, new(*Unreachable)) {
+		return false
+	}
+	var network net.Error
+	return errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, io.ErrClosedPipe) || errors.Is(err, net.ErrClosed)
+}
+
 // Silent is a call that discovery took and did not answer.
 type Silent struct {
 	Service string
--- a/discovery/paced_test.go
+++ b/discovery/paced_test.go
@@ -103,7 +103,7 @@
 				return answers(list(3, true)), nil
 			}
 			return answers(list(3, true)), nil
-		}, 4 * time.Second, "[7127.0.0.1:1 failed 3127.0.0.1:1]"},
+		}, 3500 * time.Millisecond, "[7127.0.0.1:1 failed 3127.0.0.1:1]"}, // the watch that follows is overdue later
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			got, stop := paced(t, c.conns)
--- /dev/null
+++ b/logic/asked_test.go
@@ -0,0 +1,32 @@
+package logic
+
+import (
+	"testing"
+	"time"
+
+	"flaxfront/broker"
+)
+
+// Whatever failed before, the list is asked for again soon. A change counts as told 6 s after discovery had it and could be reached;
+// one pause and a call that discovery works through in its turn have to fit in twice, as the first call may be refused.
+func TestListIsAskedForAgainInTime(t *testing.T) {
+	const most = 1500 * ms
+	for seed := range uint64(100) {
+		terms := smallTerms()
+		terms.Seed, terms.AskList = seed, true
+		l, now := New(terms), time.Duration(0)
+		l.Turn(now, nil, nil)
+		for failure := range 20 {
+			failed := now
+			events := []broker.Event{{Kind: broker.ListFailed}}
+			for asked := false; !asked; now += terms.Step {
+				for _, a := range l.Turn(now, events, nil) {
+					asked = asked || a.Kind == broker.Subscribe
+				}
+				if events = nil; now-failed > most {
+					t.Fatalf("seed %d: not asked again %v after failure %d", seed, now-failed, failure+1)
+				}
+			}
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,7 +45,7 @@
 	fullStep, fullWeight = 0.03, 50.0 // share of parts turned away; how much refusal is stricter
 	repeatSlack, eps     = 20 * time.Millisecond, 5e-5
 
-	askFirst, askMost, lateWeight = 500 * time.Millisecond, 4 * time.Second, 4 // a late search has less time
+	askFirst, askMost, lateWeight = 500 * time.Millisecond, time.Second, 4 // a late search has less time
 
 	rateFast, rateSlow, overRate = 3 * time.Second, 20 * time.Second, 1.3 // beyond its share: over the usual
 
