A client that leaves is noticed behind whatever it has sent; calls that wait are withheld

Read for races (issue's places to look), each proven by a test with real connections that forces the order and fails on the text before: - client.go, search: once a byte had come while a search was in hand nothing watched for the close any more. A client that pipelines and leaves went unnoticed until its deadline, and what it had sent behind was begun after. TestDepartureBehindBytesIsSeen. - client.go, converse: a request whose client had gone before it was read (a connection that waited to be accepted, a process that stood still) was handed to the loop and sent. TestRequestOfDepartedClientIsNotBegun. - client.go, converse: a request that came while another was in hand counted from when it was read, so that nodes were told more time than was left to its client. TestLastAnswerIsNotReset. - stop.go, drain: connections that waited in the kernel when the listener closed were reset with their requests. TestAnswerComesBeforeTheKill. - store: calls that waited for a connection were written when it came up, though the node had been drained, unlisted or restarted meanwhile. TestWithheld. Ruled out by reading: idle time-out and pending (the second look decides), a second signal, SIGHUP in a drain, a leave that crosses the verdict (one of the two is taken, the other finds the search over), the order of listener and idle connections.

Change: package lookahead reads a connection ahead up to 16 KiB while a search is in hand, tells its end and when bytes came; a last answer lingers for the time of a dial; Pool.Withhold.

--- a/server/client.go
+++ b/server/client.go
@@ -4,13 +4,12 @@
 // It must never decide about a search, keep one after its answer, or close a connection that has a search in hand.
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"log/slog"
-	"net"
 	"os"
-	"syscall"
 	"time"
 
 	"flaxfront/httpwire"
@@ -26,6 +25,9 @@
 func (s *Server) serve(ctx context.Context, c *client) {
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	reason := s.converse(ctx, c)
+	if reason == lastAnswer {
+		s.linger(c)
+	}
 	stop()
 	c.Close()
 	if ok, left := s.clients.remove(c); ok {
@@ -37,55 +39,79 @@
 // converse answers one request after the other and returns why the connection ends.
 func (s *Server) converse(ctx context.Context, c *client) string {
 	for {
-		if c.requests == 0 {
-			c.SetReadDeadline(c.opened.Add(wholeWithin))
-		} else {
-			c.SetReadDeadline(time.Now().Add(s.Terms().Idle))
-		}
-		if ended := s.clients.turn(c, idle); ended != "" && !c.pending() {
-			return ended // before it was waited on
-		}
-		_, err := c.in.Peek(1)
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.pending() {
-			c.SetReadDeadline(s.whole(c))
-			_, err = c.in.Peek(1)
+		ended, reason := s.await(c)
+		if reason != "" {
+			return reason
 		}
-		ended := s.clients.turn(c, reading)
-		c.SetReadDeadline(s.whole(c)) // after the turn: who ended it as idle just before must not cut the request short
-		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded) && ended != "":
-			return ended
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return "idle"
-		case errors.Is(err, io.EOF):
-			return "client_closed"
-		case err != nil:
-			return "client_reset"
+		m, reason := s.receive(c, ended)
+		if reason != "" {
+			return reason
 		}
-		m, err := httpwire.ReadRequest(c.in)
-		arrived := s.loop.since()
-		ended = s.clients.turn(c, busy)
-		var bad *httpwire.Fault
-		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded) && ended != "":
-			return ended
-		case errors.As(err, &bad):
-			s.clients.refused.Add(1)
-			s.part(c, bad.Status, bad.Why)
-			return "bad_request"
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			s.part(c, 408, "the request did not come whole")
-			return "slow_request"
-		case err != nil:
-			return "cut_short"
+		arrived := c.ahead.Came(c.in.Buffered())
+		last := s.clients.turn(c, busy) != "" || m.Close || c.crowded
+		// Danger: what came while another request was in hand, or while nobody had time to accept, is worked on for a client that has
+		// gone since.
+		if c.ahead.Look() {
+			return clientLeft
 		}
 		c.requests++
-		if reason := s.request(ctx, c, m, arrived, m.Close || c.crowded || ended != ""); reason != "" {
+		if reason := s.request(ctx, c, m, arrived, last); reason != "" {
 			return reason
 		}
 	}
 }
 
+// await waits for the first byte of a request. ended is why this side ends the connection after it; a reason ends it at once.
+func (s *Server) await(c *client) (ended, reason string) {
+	if c.requests == 0 {
+		c.SetReadDeadline(c.opened.Add(wholeWithin))
+	} else {
+		c.SetReadDeadline(time.Now().Add(s.Terms().Idle))
+	}
+	if ended := s.clients.turn(c, idle); ended != "" && !c.pending() {
+		return "", ended // before it was waited on
+	}
+	_, err := c.in.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.pending() {
+		c.SetReadDeadline(s.whole(c))
+		_, err = c.in.Peek(1)
+	}
+	ended = s.clients.turn(c, reading)
+	c.SetReadDeadline(s.whole(c)) // after the turn: who ended it as idle just before must not cut the request short
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && ended != "":
+		return "", ended
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "", "idle"
+	case errors.Is(err, io.EOF):
+		return "", "client_closed"
+	case err != nil:
+		return "", "client_reset"
+	}
+	return ended, ""
+}
+
+// receive reads a request whole. A reason ends the connection, which was told why if it is its client's fault.
+func (s *Server) receive(c *client, ended string) (m *httpwire.Message, reason string) {
+	m, err := httpwire.ReadRequest(c.in)
+	var bad *httpwire.Fault
+	switch {
+	case errors.As(err, &bad):
+		s.clients.refused.Add(1)
+		s.part(c, bad.Status, bad.Why)
+		return nil, "bad_request"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		if ended = cmp.Or(ended, s.clients.ending(c)); ended != "" {
+			return nil, ended
+		}
+		s.part(c, 408, "the request did not come whole")
+		return nil, "slow_request"
+	case err != nil:
+		return nil, "cut_short"
+	}
+	return m, ""
+}
+
 // whole is when a request whose first byte is there must have come whole, however slowly its bytes go on coming.
 func (s *Server) whole(c *client) time.Time {
 	switch {
@@ -100,32 +126,30 @@
 
 // pending tells whether bytes have come that were not read. Danger: an idle connection is ended just when its next
 // request arrives, and the search is lost with it.
-func (c *client) pending() (there bool) {
-	if c.in.Buffered() > 0 {
-		return true
-	}
-	if conn, ok := c.Conn.(syscall.Conn); ok {
-		if raw, err := conn.SyscallConn(); err == nil {
-			raw.Control(func(fd uintptr) {
-				var one [1]byte
-				n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-				there = err == nil && n > 0
-			})
-		}
-	}
-	return there
+func (c *client) pending() bool {
+	c.ahead.Look()
+	return c.in.Buffered()+c.ahead.Ahead() > 0
 }
 
-// part tells a client why its connection ends. What it still sends is read for a while: a close with bytes unread
-// would reset the connection and could take the answer with it.
+// part tells a client why its connection ends.
 func (s *Server) part(c *client, status int, why string) {
-	s.write(c, httpwire.AppendResponse(c.out[:0], status, true, []byte(why+"\n")))
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-		c.SetReadDeadline(time.Now().Add(s.Terms().Dial))
-		io.Copy(io.Discard, io.LimitReader(c, httpwire.MaxBody))
+	if s.write(c, httpwire.AppendResponse(c.out[:0], status, true, []byte(why+"\n"))) == nil {
+		s.linger(c)
 	}
 }
 
+// linger reads what a client still sends after its last answer, for a while, and drops it. Danger: a close over bytes that lie unread
+// resets the connection, and can take along the answer that was just written. It may hold a descriptor that long for a client that
+// does not close its side.
+func (s *Server) linger(c *client) {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || c.ahead.Ended() || half.CloseWrite() != nil {
+		return
+	}
+	c.SetReadDeadline(time.Now().Add(s.Terms().Dial))
+	io.Copy(io.Discard, io.LimitReader(c, httpwire.MaxBody))
+}
+
 // request answers one request; a reason ends the connection.
 func (s *Server) request(ctx context.Context, c *client, m *httpwire.Message, arrived time.Duration,
 	last bool) string {
@@ -156,51 +180,62 @@
 
 // search is the life of one search, from its last byte to the last byte of its answer.
 func (s *Server) search(ctx context.Context, c *client, a *ask, arrived time.Duration, last bool) string {
-	q := &search{ask: a, deadline: arrived + a.timeout, crowded: c.crowded, verdict: make(chan verdict, 1)}
+	q := &search{ask: a, arrived: arrived, deadline: s.answerBy(arrived, a.timeout), crowded: c.crowded,
+		verdict: make(chan verdict, 1)}
 	if !s.deliver(taken{q}) {
 		return "shutdown"
 	}
-	// While the module has it, its client may go away.
 	c.SetReadDeadline(time.Time{})
-	gone := make(chan error, 1)
-	go func() {
-		_, err := c.in.Peek(1)
-		gone <- err
-	}()
+	v, reason := s.outcome(ctx, c, q)
+	if reason != "" {
+		return reason
+	}
+	last = last || s.draining.Load()
+	reason = s.reply(c, appendVerdict(c.out[:0], v, last, readHeads(a, &v)...), last)
+	if reason == writeFailed {
+		s.clients.unwritten.Add(1)
+	}
+	slog.Debug("search over", "id", a.id, "verdict", v.kind, "took", s.loop.since()-arrived, "end", reason)
+	return reason
+}
+
+// outcome waits for a search's verdict, and watches meanwhile whether its client goes away, whatever else it has sent.
+func (s *Server) outcome(ctx context.Context, c *client, q *search) (v verdict, reason string) {
+	done, gone := make(chan struct{}), make(chan error, 1)
+	watch := func() { gone <- c.ahead.Watch(done) }
+	go watch()
 	overdue := time.NewTimer(q.deadline - s.loop.since())
 	defer overdue.Stop()
-	var v verdict
-	watching := gone
-	for waiting := true; waiting; {
+	for {
 		select {
 		case v = <-q.verdict:
-			waiting = false
-		case err := <-watching:
-			if err != nil {
-				s.deliver(leave{q, false})
-				return "client_left"
+			close(done)
+			c.SetReadDeadline(past)
+			<-gone
+			return v, ""
+		case err := <-gone:
+			if err == nil { // woken for nothing
+				c.SetReadDeadline(time.Time{})
+				go watch()
+				continue
 			}
-			watching = nil // it has sent more already; that waits its turn
+			s.deliver(leave{q, false})
+			return v, clientLeft
 		case <-overdue.C:
 			s.deliver(leave{q, true}) // a verdict comes of it
 		case <-ctx.Done():
-			return "shutdown"
+			close(done)
+			return v, "shutdown"
 		}
 	}
-	if watching != nil {
-		c.SetReadDeadline(past)
-		<-gone
-	}
-	last = last || s.draining.Load()
-	reason := s.reply(c, appendVerdict(c.out[:0], v, last, readHeads(a, &v)...), last)
-	if reason == writeFailed {
-		s.clients.unwritten.Add(1)
-	}
-	slog.Debug("search over", "id", a.id, "verdict", v.kind, "took", s.loop.since()-arrived, "end", reason)
-	return reason
 }
 
-const writeFailed = "write_failed"
+// Why a connection ends, as it is logged.
+const (
+	writeFailed = "write_failed"
+	lastAnswer  = "last_answer"
+	clientLeft  = "client_left"
+)
 
 // reply writes a response and tells why the connection ends with it, if it does.
 func (s *Server) reply(c *client, b []byte, last bool) string {
@@ -208,7 +243,7 @@
 		return writeFailed
 	}
 	if last {
-		return "last_answer"
+		return lastAnswer
 	}
 	return ""
 }
--- a/server/clients.go
+++ b/server/clients.go
@@ -9,17 +9,20 @@
 	"errors"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"flaxfront/httpwire"
+	"flaxfront/lookahead"
 )
 
 // client is one client connection.
 type client struct {
 	net.Conn
-	in       *bufio.Reader
+	ahead    *lookahead.Reader
+	in       *bufio.Reader // over ahead
 	out      []byte
 	opened   time.Time
 	requests int
@@ -34,6 +37,14 @@
 	ended string    // why this side ends it
 }
 
+// keptAhead bounds what is read of a client's next requests while one is in hand.
+const keptAhead = 16 << 10
+
+func newClient(conn net.Conn, now func() time.Duration) *client {
+	ahead := lookahead.New(conn, now, keptAhead)
+	return &client{Conn: conn, ahead: ahead, in: httpwire.NewReader(ahead), opened: time.Now()}
+}
+
 type state uint8
 
 const (
@@ -166,6 +177,13 @@
 	return c.ended
 }
 
+// ending tells why this side ends a connection, if it does.
+func (cs *clients) ending(c *client) string {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return c.ended
+}
+
 func (cs *clients) tellRoom() {
 	select {
 	case cs.room <- struct{}{}:
@@ -201,11 +219,17 @@
 // accept takes connections until the listener is closed.
 func (s *Server) accept(ctx context.Context) error {
 	defer close(s.accepted)
+	var queue queueEnd
 	for {
 		conn, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) && queue.empty() {
 			return nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			s.acceptQueued()
+			continue
+		}
+		queue.taken()
 		if err != nil { // such as no descriptor left: an idle one goes, and the kernel keeps the others waiting
 			slog.Warn("accept failed", "error", err)
 			s.clients.mu.Lock()
@@ -216,7 +240,7 @@
 			}
 			continue
 		}
-		c := &client{Conn: conn, in: httpwire.NewReader(conn), opened: time.Now()}
+		c := newClient(conn, s.loop.since)
 		for !s.clients.admit(c) {
 			if !s.waitForRoom(ctx) {
 				conn.Close()
--- a/server/core.go
+++ b/server/core.go
@@ -107,7 +107,7 @@
 	for i, shard := range a.Shards {
 		q.parts[i] = askPart{partName(a.ID, shard), shard, a.Weights[i]}
 	}
-	s := &search{ask: q, deadline: c.l.since() + a.Timeout}
+	s := &search{ask: q, arrived: c.l.since(), deadline: c.l.since() + a.Timeout}
 	s.to = func(v verdict) {
 		out := Verdict{Answered: v.kind == answered, Whole: v.whole, Shed: v.kind == shed, After: v.after,
 			Hinted: v.hinted, Seen: v.seen, Behind: v.behind, Stale: v.stale}
--- /dev/null
+++ b/server/departed_test.go
@@ -0,0 +1,195 @@
+package server
+
+// This file tests clients that leave, and what lies unread on their connections, in the orders that go wrong: docs/acceptance.md.
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"flaxfront/httpwire"
+)
+
+// within waits for a state that must come soon, and well before any deadline of the test's searches.
+func within(t *testing.T, s *Server, what string, reached func(Counters) bool) {
+	t.Helper()
+	for end := time.Now().Add(time.Second); !reached(s.Counters()); {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within a second: %+v", what, s.Counters().Searches)
+		}
+	}
+}
+
+// A client that has sent more while its search is in hand, and then leaves, is noticed at once, however much it has sent: the search
+// is left, what was sent behind it is never begun, and a connection that comes up later carries nothing of it.
+func TestDepartureBehindBytesIsSeen(t *testing.T) {
+	s, _ := live(t, 1024)
+	n := uint64(0)
+	for what, behind := range map[string]string{
+		"a stray byte":      "x",
+		"another search":    hanging("b", "1900"),
+		"many searches":     strings.Repeat(hanging("b", "1900"), 20),
+		"more than is kept": strings.Repeat("x", 4*keptAhead),
+	} {
+		for _, reset := range []bool{false, true} {
+			n++
+			c := dial(t, s)
+			io.WriteString(c, hanging("a", "1900"))
+			within(t, s, what, func(c Counters) bool { return c.Searches.InHand == 1 })
+			go func() {
+				io.WriteString(c, behind)
+				if reset {
+					c.Conn.(*net.TCPConn).SetLinger(0)
+				}
+				c.Close()
+			}()
+			within(t, s, what, func(c Counters) bool { return c.Searches.Left == n && c.Searches.InHand == 0 })
+			within(t, s, what, func(Counters) bool { return s.clients.closed.Load() == n })
+			if got := s.Counters().Searches; got.Taken != n || got.Store.Parts > 2*n {
+				t.Errorf("%s, reset %v: %d taken of %d, %d parts sent", what, reset, got.Taken, n, got.Store.Parts)
+			}
+		}
+	}
+}
+
+// A client that has gone before its request is read is not worked for: its connection waited to be accepted, or the process stood
+// still meanwhile.
+func TestRequestOfDepartedClientIsNotBegun(t *testing.T) {
+	s, _ := live(t, 1024)
+	until(s, func(Counters) bool { return true })
+	near, far := tcpPair(t)
+	io.WriteString(far, post("a", body))
+	far.Close()
+	if reason := <-converses(s, near); reason != "client_left" {
+		t.Errorf("ended as %s", reason)
+	}
+	if n := s.Counters().Searches; n.Taken != 0 || n.Store.Parts != 0 {
+		t.Errorf("%d taken, %d parts sent", n.Taken, n.Store.Parts)
+	}
+}
+
+// A request that was sent ahead counts from when it came: its nodes are told what is left to its client, not its whole time.
+func TestTimeCountsFromWhenARequestCame(t *testing.T) {
+	s, _ := live(t, 1024)
+	c := dial(t, s)
+	io.WriteString(c, hanging("a", "900"))
+	within(t, s, "first", func(c Counters) bool { return c.Searches.InHand == 1 })
+	begun := time.Now()
+	io.WriteString(c, hanging("b", "1000"))
+	for _, id := range []string{"a", "b"} {
+		if m := c.hear(); m.Status != 504 && m.Status != 503 {
+			t.Errorf("%s: %d", id, m.Status)
+		}
+	}
+	if took := time.Since(begun); took > 1500*time.Millisecond {
+		t.Errorf("the second was answered %v after it came, with a time of 1 s", took)
+	}
+}
+
+// The last answer of a connection reaches a client that has sent more by then: the connection is not reset under it.
+func TestLastAnswerIsNotReset(t *testing.T) {
+	for what, text := range map[string]string{
+		"asked to close": strings.Replace(post("a", body), "\r\n", "\r\nConnection: close\r\n", 1),
+		"bad request":    strings.Replace(post("a", body), "acme", "nobody", 1),
+	} {
+		s, _ := live(t, 1024)
+		c := dial(t, s)
+		io.WriteString(c, text+strings.Repeat("x", 3*keptAhead))
+		if m := c.hear(); !m.Close {
+			t.Errorf("%s: %d, and the connection goes on", what, m.Status)
+		}
+		if _, err := c.in.ReadByte(); err != io.EOF {
+			t.Errorf("%s: after the last answer: %v (reset: %v)", what, err, errors.Is(err, syscall.ECONNRESET))
+		}
+	}
+}
+
+// Connections that wait in the kernel when a stop closes the listener are accepted first, and their requests answered.
+func TestStopTakesWhatWaitsToBeAccepted(t *testing.T) {
+	s, end := live(t, 1024)
+	enough := make(chan time.Time)
+	s.after = func(time.Duration) <-chan time.Time { return enough }
+	until(s, func(Counters) bool { return true })
+	s.clients.mu.Lock() // nobody is admitted, so that the accepting stands still with one connection in its hands
+	var waiting []*caller
+	for i := range 5 {
+		c := dial(t, s)
+		io.WriteString(c, post(fmt.Sprint("a", i), body))
+		waiting = append(waiting, c)
+	}
+	done := make(chan error, 1)
+	go func() { done <- end() }()
+	for !s.draining.Load() {
+	}
+	enough <- time.Time{}
+	closed := false
+	for begun := time.Now(); time.Since(begun) < 10*queuedFor && !closed; {
+		conn, err := net.DialTimeout("tcp", s.listener.Addr().String(), queuedFor)
+		if closed = err != nil; !closed {
+			conn.Close()
+		}
+	}
+	s.clients.mu.Unlock()
+	for i, c := range waiting {
+		if m, err := httpwire.ReadResponse(c.in); err != nil || m.Status != 200 {
+			t.Errorf("connection %d: %v, %+v", i, err, m)
+		}
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// What comes after SIGTERM has its answer before the kill, whatever time its client gives it; what came before keeps its time.
+func TestAnswerComesBeforeTheKill(t *testing.T) {
+	s, _ := live(t, 1024)
+	patient := longest(s.Terms())
+	if by := s.answerBy(time.Second, patient); by != time.Second+patient {
+		t.Errorf("while it serves: by %v", by)
+	}
+	s.stopped.Store(int64(time.Second))
+	s.draining.Store(true)
+	kill := time.Second + min(patient, killWaits) + mustAnswer
+	for _, c := range []struct{ arrived, timeout, by time.Duration }{
+		{1500 * time.Millisecond, time.Second, 2500 * time.Millisecond},
+		{1500 * time.Millisecond, time.Minute, kill - beforeKill},
+		{kill, time.Minute, kill + leastAnswer},
+	} {
+		if by := s.answerBy(c.arrived, c.timeout); by != c.by {
+			t.Errorf("%+v: by %v", c, by)
+		}
+	}
+}
+
+// A stop ends in time though clients go on connecting: what comes without end is no queue.
+func TestStopEndsThoughClientsGoOnConnecting(t *testing.T) {
+	s, end := live(t, 1024)
+	s.after = func(time.Duration) <-chan time.Time { return time.After(0) }
+	until(s, func(Counters) bool { return true })
+	at, stop := s.listener.Addr().String(), make(chan struct{})
+	defer close(stop)
+	for range 4 {
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if conn, err := net.Dial("tcp", at); err == nil {
+					conn.Close()
+				}
+			}
+		}()
+	}
+	begun := time.Now()
+	end()
+	if took := time.Since(begun); took > 5*queuedMost {
+		t.Errorf("it took %v", took)
+	}
+}
--- a/server/front.go
+++ b/server/front.go
@@ -44,7 +44,7 @@
 // left.
 func (s *Server) Search(ctx context.Context, a *Ask) (Verdict, error) {
 	q := &search{ask: &ask{id: a.ID, typ: a.Type, tenant: a.Tenant, client: a.Client, repeat: a.Repeat, timeout: a.Timeout, text: a.Text},
-		deadline: s.loop.since() + a.Timeout, verdict: make(chan verdict, 1)}
+		arrived: s.loop.since(), deadline: s.loop.since() + a.Timeout, verdict: make(chan verdict, 1)}
 	for i, shard := range a.Shards {
 		q.ask.parts = append(q.ask.parts, askPart{partName(a.ID, shard), shard, a.Weights[i]})
 	}
--- a/server/list.go
+++ b/server/list.go
@@ -61,6 +61,9 @@
 		} else {
 			l.nodes[id] = *n
 			l.pool.Point(id, n.Name, n.Addr, n.Entry.Boot)
+			if e.Entries[len(e.Entries)-1].State != broker.Ready {
+				l.pool.Withhold(id)
+			}
 		}
 		if !known || last != *n {
 			slog.Info("node listed", "node", n.Name, "id", id, "addr", n.Addr, "state", n.Entry.State,
--- a/server/pins.go
+++ b/server/pins.go
@@ -88,7 +88,7 @@
 // allows is answered without it, and else it is refused with the time to return.
 func (l *loop) pin(s *search) {
 	h, n := s.ask.hint, len(s.ask.parts)
-	q := &pinned{ask: pins.Ask{Taken: s.deadline - s.timeout, MaxStale: h.MaxStale, OrStale: h.OrStale}, parts: make([]pinnedPart, n)}
+	q := &pinned{ask: pins.Ask{Taken: s.arrived, MaxStale: h.MaxStale, OrStale: h.OrStale}, parts: make([]pinnedPart, n)}
 	if h.Scope != hint.None {
 		q.ask.Pin = pins.PinOf(string(h.Scope), h.Key)
 	}
--- a/server/search.go
+++ b/server/search.go
@@ -37,6 +37,7 @@
 // search is one search in hand. The first fields are its life's, the others the loop's.
 type search struct {
 	*ask
+	arrived  time.Duration // when it had come whole
 	deadline time.Duration // when its client gives up
 	crowded  bool          // its front has no room for it
 	verdict  chan verdict  // holds one; nobody waits to deliver it
--- a/server/server.go
+++ b/server/server.go
@@ -62,6 +62,7 @@
 	serving  sync.WaitGroup // client connections
 	accepted chan struct{}  // closed when no more of them come
 	draining atomic.Bool
+	stopped  atomic.Int64                // when the stop was asked for, since the start
 	settings atomic.Pointer[terms.Terms] // in force
 	operator *operator.File
 	keeper   *nodelist.Store // nil: no list is kept
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -143,7 +143,7 @@
 			s.clients.most, s.clients.room = 4, make(chan struct{}, 1)
 			here, there := net.Pipe()
 			begun := time.Now()
-			in := &client{Conn: there, in: httpwire.NewReader(there), opened: begun}
+			in := newClient(there, s.loop.since)
 			s.clients.admit(in)
 			go s.serve(t.Context(), in)
 			go func() {
--- a/server/terms_test.go
+++ b/server/terms_test.go
@@ -31,7 +31,7 @@
 }
 
 func converses(s *Server, conn net.Conn) (reason <-chan string) {
-	c := &client{Conn: conn, in: httpwire.NewReader(conn), opened: time.Now()}
+	c := newClient(conn, s.loop.since)
 	s.clients.admit(c)
 	ended := make(chan string, 1)
 	go func() {
--- a/store/end.go
+++ b/store/end.go
@@ -142,3 +142,21 @@
 
 // Written tells whether a part's last byte has left for its node.
 func (part *Part) Written() bool { return part.written }
+
+// Withhold ends what waits for connections to a node to come up, as never sent. Danger: a connection may come up long after the call
+// was meant for it; by then the list may have ended or drained the node, or it has started anew and is cold.
+func (p *Pool) Withhold(id broker.NodeID) {
+	if n := p.nodes[id]; n != nil {
+		p.withhold(n)
+	}
+}
+
+func (p *Pool) withhold(n *node) {
+	for _, c := range n.conns {
+		queue := c.queue
+		c.queue = nil
+		for _, parts := range queue {
+			p.end(slices.DeleteFunc(parts, (*Part).Over), broker.NeverSent)
+		}
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -107,6 +107,7 @@
 	if boot > n.boot {
 		n.boot = boot
 		p.closeWhere(n, "restarted", func(c *conn) bool { return c.up != nil && c.dialed < boot })
+		p.withhold(n)
 	}
 }
 
@@ -154,6 +155,7 @@
 func (p *Pool) Drop(id broker.NodeID) {
 	if n := p.nodes[id]; n != nil {
 		n.gone, p.due = true, 0
+		p.withhold(n)
 		p.CloseIdle(id, "gone")
 	}
 }
