Every order of what comes to a search and to a connection is played; a departure calls off what waits

Seen: a play of all orders of five happenings (asked, left, drained, unlisted, restarted, a failed list, connections that rise, answers, resets, time), each in a turn of its own or together with the one before. "asked, left, at once, rises" wrote a sub-request for a client that had gone: the departure's parts were called off only at the end of the turn, and a connection that came up in the same batch wrote them before. At fault: loop.take (leave) and forget. Checked and held: 163 orders of bytes, departure, stop and want of a descriptor at one connection, on loopback sockets.

Change: a departure calls off what was not written at once. Two requests more that discovery may have open, and connections that end, have descriptors of their own (16 beside the overflow of 8; 8 before).

--- /dev/null
+++ b/logic/coldsum_test.go
@@ -0,0 +1,76 @@
+package logic
+
+import (
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+
+	"flaxfront/broker"
+)
+
+// Rule 4 by its letter, under the sum of twenty or thirty brokers: a node that comes back cold gets no more than N, and what chance
+// adds, in the time that the settings name, N being what it can do then. Half of the brokers are started anew meanwhile and know
+// nothing of what the others send, and a burst comes.
+func TestColdNodeUnderManyBrokers(t *testing.T) {
+	const window, wave = 1500 * ms, 2500 * ms
+	for seed := range int64(6) {
+		brokers := []int{20, 30}[seed%2]
+		rnd := rand.New(rand.NewSource(seed))
+		terms, rigs, cold := smallTerms(), []*rig(nil), nodeID(0)
+		terms.Brokers = brokers
+		start := func(i int, now time.Duration) *rig {
+			terms.Seed = uint64(seed)<<20 + uint64(i)<<10 + uint64(now/ms)
+			r := newRig(terms, 6)
+			r.now = now
+			r.list(broker.ListDelta, broker.Entry{Node: cold, State: broker.Ready, Boot: 0})
+			return r
+		}
+		for i := range brokers {
+			rigs = append(rigs, start(i, 0))
+		}
+		sends, warm := []time.Duration(nil), 0
+		counted := func(r *rig) {
+			sends = append(sends, r.sends[cold]...)
+			for i := 1; i < 6; i++ {
+				warm += len(r.sends[nodeID(i)])
+			}
+		}
+		for step := range 1600 {
+			now := time.Duration(step) * 5 * ms
+			if now == wave {
+				for i := range brokers / 2 {
+					counted(rigs[i])
+					rigs[i] = start(i, now)
+				}
+			}
+			load := 2
+			if now > wave && now < 2*wave {
+				load = 3
+			}
+			for _, r := range rigs {
+				if rnd.Intn(2*brokers) < load {
+					r.ask(0, 3*time.Second, rnd.Intn(4), rnd.Intn(4))
+				}
+				r.endWhere(broker.OK, 80*ms, func(broker.NodeID) bool { return rnd.Intn(8) == 0 })
+				r.step(5 * ms)
+			}
+		}
+		for _, r := range rigs {
+			counted(r)
+		}
+		full := float64(warm) / 5 / 8 // parts a second that a warm node is sent, taken for all it can do
+		for from := time.Duration(0); from < 8*time.Second; from += 50 * ms {
+			n, have := 0, 0.3+0.7*from.Seconds()/8
+			for _, at := range sends {
+				if at >= from && at < from+window {
+					n++
+				}
+			}
+			allowed := terms.FallMultiple * have * full * window.Seconds()
+			most := allowed + 2*math.Sqrt(allowed) + 2
+			must(t, float64(n) <= most, "seed %d, %d brokers: %d sent from %v on, limit %.1f", seed, brokers, n, from, most)
+		}
+		must(t, len(sends) > 20, "it must be brought back, not left out")
+	}
+}
--- a/server/clients.go
+++ b/server/clients.go
@@ -55,7 +55,7 @@
 
 // overflow is how many connections may stand beyond the bound for a moment: those about to be closed, and those that
 // found no room.
-const overflow = spareSockets / 2
+const overflow = 8
 
 // clients are all client connections. Danger: more of them than there are descriptors, by a crowd, by clients that
 // open and say nothing, or by requests that never come whole. Where their number is reached the one that idled
--- /dev/null
+++ b/server/connection_orders_test.go
@@ -0,0 +1,128 @@
+package server
+
+// This file plays every order in which a client's bytes, its departure, a stop and the want of a descriptor can come to one connection,
+// each once the one before has been taken in: docs/acceptance.md.
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"flaxfront/httpwire"
+)
+
+// step is one thing that comes to a connection.
+type step string
+
+const (
+	begins  step = "begins"  // the first bytes of a request
+	becomes step = "becomes" // the others
+	strays  step = "strays"  // a byte of another request
+	departs step = "departs"
+	drains  step = "drains" // a stop: answers say that they are the last, and idle connections are closed
+	spares  step = "spares" // another client needs the descriptor
+)
+
+// Every order of steps: a request that came whole has one whole answer, unless its client departed or the connection was closed with
+// nothing of it read; one whose client departed before it was read is not begun; and the connection ends.
+func TestEveryOrderOfAConnection(t *testing.T) {
+	s, _ := live(t, 1024)
+	until(s, func(Counters) bool { return true })
+	orders := 0
+	var extend func(course []step)
+	extend = func(course []step) {
+		if len(course) > 0 {
+			orders++
+			playConnection(t, s, course, fmt.Sprint("a", orders))
+		}
+		for _, next := range []step{begins, becomes, strays, departs, drains, spares} {
+			behind := slices.Contains(course, departs) && (next == begins || next == becomes || next == strays)
+			early := next == becomes && !slices.Contains(course, begins) || next == strays && !slices.Contains(course, becomes)
+			if !slices.Contains(course, next) && !behind && !early {
+				extend(append(slices.Clone(course), next))
+			}
+		}
+	}
+	extend(nil)
+	t.Logf("%d orders", orders)
+}
+
+func playConnection(t *testing.T, s *Server, course []step, id string) {
+	t.Helper()
+	near, far := tcpPair(t)
+	defer far.Close()
+	s.draining.Store(false)
+	s.clients.mu.Lock()
+	s.clients.closing = false
+	s.clients.mu.Unlock()
+	before := s.Counters().Searches.Taken
+	text := post(id, body)
+	ended := converses(s, near)
+	settled := func(reached func(c *client) bool) {
+		for deadline := time.Now().Add(100 * time.Millisecond); time.Now().Before(deadline); time.Sleep(50 * time.Microsecond) {
+			s.clients.mu.Lock()
+			done := true
+			for c := range s.clients.all {
+				done = done && reached(c)
+			}
+			s.clients.mu.Unlock()
+			if done {
+				return
+			}
+		}
+	}
+	closed := false
+	for _, next := range course {
+		switch next {
+		case begins:
+			_, err := io.WriteString(far, text[:30])
+			closed = closed || err != nil
+			settled(func(c *client) bool { return c.state == reading })
+		case becomes:
+			_, err := io.WriteString(far, text[30:])
+			closed = closed || err != nil
+			settled(func(c *client) bool { return c.used && c.state == idle })
+		case strays:
+			io.WriteString(far, "P")
+			settled(func(c *client) bool { return c.state == reading })
+		case departs:
+			far.(*net.TCPConn).CloseWrite()
+			settled(func(*client) bool { return len(s.clients.all) == 0 })
+		case drains:
+			s.draining.Store(true)
+			s.clients.closeIdle()
+			settled(func(c *client) bool { return c.state != idle })
+		case spares:
+			s.clients.mu.Lock()
+			s.clients.spare()
+			s.clients.mu.Unlock()
+			settled(func(c *client) bool { return c.state != idle || c.ended == "" })
+		}
+	}
+	far.(*net.TCPConn).CloseWrite()
+	in := httpwire.NewReader(far)
+	m, err := httpwire.ReadResponse(in)
+	reason := <-ended
+	was := strings.Join(strings.Fields(fmt.Sprint(course)), " ")
+	taken := s.Counters().Searches.Taken - before
+	asked, departed := slices.Index(course, becomes), slices.Index(course, departs)
+	switch {
+	case asked < 0 && taken > 0:
+		t.Errorf("%s: a search was made of what was not whole", was)
+	case taken > 1:
+		t.Errorf("%s: %d searches of one request", was, taken)
+	case taken == 1 && (err != nil || m.Status != 200) && departed < 0:
+		t.Errorf("%s: taken and not answered whole (%s): %v", was, reason, err)
+	case asked >= 0 && taken == 0 && err == nil && m.Status < 400:
+		t.Errorf("%s: answered %d with no search", was, m.Status)
+	case asked >= 0 && taken == 0 && err != nil && !slices.Contains([]string{"drained", "spare", "client_left"}, reason):
+		t.Errorf("%s: neither taken nor closed for a reason: %s", was, reason)
+	}
+	if again, err := httpwire.ReadResponse(in); err == nil && again.Status == 200 {
+		t.Errorf("%s: two answers", was)
+	}
+}
--- /dev/null
+++ b/server/orders_test.go
@@ -0,0 +1,270 @@
+package server
+
+// This file plays every order in which what happens to one search can come to the loop, and checks after each step what must hold
+// in all of them: docs/acceptance.md.
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"flaxfront/broker"
+	"flaxfront/discovery"
+	"flaxfront/logic"
+	"flaxfront/operator"
+	"flaxfront/store"
+)
+
+// happening is one thing that comes to the loop.
+type happening string
+
+const (
+	asked     happening = "asked"
+	left      happening = "left"       // the client has gone
+	drained   happening = "drained"    // the list drains the node that has the connection
+	unlisted  happening = "unlisted"   // a whole list does not name it
+	restarted happening = "restarted"  // the list tells a newer start of it
+	failed    happening = "list fails" // a call to discovery
+	rises     happening = "rises"      // the connections that are being opened come up
+	served    happening = "served"     // what is out is answered
+	resets    happening = "resets"     // the connections that are up break
+	passes    happening = "passes"     // the search's time
+)
+
+// order is one broker in one order of happenings, with two nodes that hold the one shard.
+type order struct {
+	t       *testing.T
+	core    *Core
+	now     time.Duration
+	due     time.Duration // when the client's time is up
+	nodes   []discovery.Node
+	open    []*orderLink
+	events  []store.Event // that the wire brings
+	held    Held
+	put     bool
+	gone    bool            // the client has left and the loop has heard of it
+	barred  map[string]bool // nodes that the loop has been told to send nothing
+	answers int
+	sent    int
+	course  []string
+}
+
+// orderLink is a connection of it.
+type orderLink struct {
+	o      *order
+	node   string
+	handle store.Handle
+	up     bool
+	down   bool
+	out    []string // parts written and not answered
+}
+
+func (l *orderLink) Read([]byte) (int, error)          { return 0, nil }
+func (l *orderLink) Close() error                      { return nil }
+func (l *orderLink) SetReadDeadline(t time.Time) error { return nil }
+
+// TryWrite takes one frame, and checks that it may come now.
+func (l *orderLink) TryWrite(b []byte) (int, error) {
+	if b[4] == 'q' {
+		id, _, _ := strings.Cut(string(b[5:]), " ")
+		l.out = append(l.out, id)
+		l.o.sent++
+		switch {
+		case l.o.gone:
+			l.o.fail("%s was sent for a client that had gone", id)
+		case l.o.answers > 0:
+			l.o.fail("%s was sent after the answer", id)
+		case l.o.barred[l.node]:
+			l.o.fail("%s was sent to %s, which is drained or gone", id, l.node)
+		case l.o.now >= l.o.due:
+			l.o.fail("%s was sent when its client's time was up", id)
+		}
+	}
+	return len(b), nil
+}
+
+func (o *order) fail(format string, args ...any) {
+	o.t.Helper()
+	o.t.Errorf("%s: %s", strings.Join(o.course, ", "), fmt.Sprintf(format, args...))
+}
+
+func newOrder(t *testing.T) *order {
+	o := &order{t: t, barred: map[string]bool{}}
+	tm := decoded(t)
+	a := Around{Now: func() time.Duration { return o.now }, Start: time.Unix(0, 0), Sockets: 64, Ask: func() {}, Tell: func(string) {},
+		Log: func(string) {}}
+	a.Carry = func(node string, _ netip.AddrPort, h store.Handle) func() {
+		l := &orderLink{o: o, node: node, handle: h}
+		o.open = append(o.open, l)
+		return func() {
+			if !l.down {
+				l.down = true
+				o.events = append(o.events, h.Down(o.now, nil))
+			}
+		}
+	}
+	var err error
+	if o.core, err = NewCore(&tm, operator.Default(), func(t broker.Terms) broker.Decider { return logic.New(t) }, a); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 2 {
+		name := fmt.Sprint("s-", i)
+		n := nodeAt(name, broker.Ready)
+		n.Entry.Boot = broker.NoBoot
+		o.nodes = append(o.nodes, n)
+	}
+	o.core.List(&discovery.List{Whole: true, Nodes: slices.Clone(o.nodes)}, nil)
+	o.core.Step()
+	return o
+}
+
+// busy is the first node to which a connection was opened.
+func (o *order) busy() *discovery.Node {
+	at := 0
+	if len(o.open) > 0 {
+		at = slices.IndexFunc(o.nodes, func(n discovery.Node) bool { return n.Name == o.open[0].node })
+	}
+	return &o.nodes[at]
+}
+
+func (o *order) happens(h happening) {
+	switch h {
+	case asked:
+		o.put, o.due = true, o.now+time.Second
+		o.held = o.core.Search(&Ask{ID: "a", Timeout: time.Second, Text: "x", Shards: []int{0}, Weights: []float64{1}},
+			func(Verdict) { o.answers++ })
+	case left:
+		if o.put {
+			o.core.Leave(o.held, false)
+			o.gone = true
+		}
+	case drained, unlisted, restarted:
+		o.lists(h)
+	case failed:
+		o.core.List(nil, fmt.Errorf("no list"))
+	case rises:
+		for _, l := range slices.Clone(o.open) {
+			if !l.up && !l.down {
+				l.up = true
+				o.core.Event(l.handle.Up(o.now, l))
+			}
+		}
+	case served:
+		for _, l := range slices.Clone(o.open) {
+			for _, id := range l.out {
+				if !l.down {
+					o.core.Event(l.handle.Answered(o.now, store.Answer{ID: id, Value: "v"}))
+				}
+			}
+			l.out = nil
+		}
+	case resets:
+		for _, l := range slices.Clone(o.open) {
+			if l.up && !l.down {
+				l.down = true
+				o.core.Event(l.handle.Down(o.now, fmt.Errorf("reset")))
+			}
+		}
+	case passes:
+		if o.now += time.Second; o.put {
+			o.now = o.due
+			o.core.Leave(o.held, true)
+		}
+	}
+}
+
+func (o *order) lists(h happening) {
+	n := *o.busy()
+	switch h {
+	case drained:
+		n.Entry.State = broker.Draining
+		o.barred[n.Name] = true
+		o.core.List(&discovery.List{Nodes: []discovery.Node{n}}, nil)
+	case unlisted:
+		others := slices.DeleteFunc(slices.Clone(o.nodes), func(x discovery.Node) bool { return x.Name == n.Name })
+		o.barred = map[string]bool{n.Name: true} // the others are named as in service
+		o.core.List(&discovery.List{Whole: true, Nodes: others}, nil)
+	case restarted:
+		n.Entry.Boot = max(1, o.now)
+		delete(o.barred, n.Name) // it serves again
+		o.core.List(&discovery.List{Nodes: []discovery.Node{n}}, nil)
+	}
+}
+
+// settle has the loop take all that the wire brings, and its turns.
+func (o *order) settle() {
+	for range 3 {
+		for _, e := range o.events {
+			o.core.Event(e)
+		}
+		o.events = nil
+		o.core.Step()
+	}
+}
+
+// ends lets time pass until nothing can be owed any more, and checks what every order ends in.
+func (o *order) ends() {
+	for _, step := range []time.Duration{5 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second} {
+		if o.now += step; o.now >= o.due && o.put {
+			o.core.Leave(o.held, true)
+		}
+		o.settle()
+	}
+	switch n := o.core.Tally(); {
+	case !o.put:
+	case !o.held.Over():
+		o.fail("the search has no end")
+	case o.answers > 1:
+		o.fail("%d answers", o.answers)
+	case n.Taken != n.Answered+n.Shed+n.Errored+n.Left || n.InHand != 0 || n.Out != 0:
+		o.fail("%+v", n)
+	case o.answers == 0 && n.Left != 1:
+		o.fail("neither an answer nor a departure")
+	}
+}
+
+// Every order of up to five happenings, each taken in a turn of its own or together with the one before.
+func TestEveryOrder(t *testing.T) {
+	all := []happening{asked, left, drained, unlisted, restarted, failed, rises, served, resets, passes}
+	orders, sent := 0, 0
+	var extend func(course []happening)
+	extend = func(course []happening) {
+		if len(course) == 2 && !slices.Contains(course, asked) || len(course) == 5 && !slices.Contains(course, rises) {
+			return // what comes before the search matters little, and with no connection nothing is sent
+		}
+		if len(course) == 5 {
+			for together := range 1 << (len(course) - 1) {
+				o := newOrder(t)
+				for i, h := range course {
+					o.course = append(o.course, string(h))
+					o.happens(h)
+					if together>>i&1 == 0 {
+						o.settle()
+					} else {
+						o.course = append(o.course, "at once")
+					}
+				}
+				o.ends()
+				orders++
+				sent += o.sent
+				if t.Failed() {
+					t.FailNow()
+				}
+			}
+			return
+		}
+		for _, h := range all {
+			if !slices.Contains(course, h) {
+				extend(append(slices.Clone(course), h))
+			}
+		}
+	}
+	extend(nil)
+	if sent < orders/4 {
+		t.Errorf("%d sub-requests in %d orders: too little is played", sent, orders)
+	}
+	t.Logf("%d orders, %d sub-requests", orders, sent)
+}
--- a/server/search.go
+++ b/server/search.go
@@ -234,14 +234,21 @@
 	l.ended = append(l.ended, s)
 }
 
-// forget drops a search. What was not written to a node by now never is.
-func (l *loop) forget(s *search) {
+// unsend calls off what was not written to a node yet; it never is.
+func (l *loop) unsend(s *search) {
 	for i := range s.parts {
 		for _, t := range s.parts[i].tries {
 			if !t.Written() {
 				l.pool.Cancel(t)
 			}
 		}
+	}
+}
+
+// forget drops a search. What was not written to a node by now never is.
+func (l *loop) forget(s *search) {
+	l.unsend(s)
+	for i := range s.parts {
 		delete(l.owners, s.id+1+uint64(i))
 	}
 	delete(l.searches, s.id)
--- a/server/server.go
+++ b/server/server.go
@@ -36,10 +36,11 @@
 	stopTaking  = (newConnsFor + mustAnswer) / 2
 )
 
-// Of the descriptors some are kept for listeners and the runtime; nodes get a third of the others. The protocol lets
+// Of the descriptors some are kept for what is neither a client's nor a node's; nodes get a third of the others. The protocol lets
 // clients hold a third of all for requests; three quarters of these are kept open between requests.
 const (
-	spareSockets = 16
+	ownSockets   = 16 // the standard streams, the poller, listener and peers, three requests to discovery, connections that just end
+	spareSockets = ownSockets + overflow
 	nodesPart    = 3
 	requestsPart = 3
 )
--- a/server/take.go
+++ b/server/take.go
@@ -64,6 +64,7 @@
 			}
 			l.events = append(l.events, broker.Event{Kind: broker.Left, ID: d.s.id})
 			l.finish(d.s)
+			l.unsend(d.s) // now, as a connection may come up in the same moment
 		}
 	case listed:
 		l.list(d.list, d.err)
