A list that can't be read is reported with what an operator can do; a silent watch of a busy service

Seen by reading: an answer that is no list was told with no word on what to do, and so was a configuration that was not taken. Both log lines now carry what_to_do, and an unreadable list has a type (discovery.Unreadable).

Tests beside it: TestWrongAnswersChangeNothing, TestEndlessAnswerEnds.

--- a/discovery/busy_test.go
+++ b/discovery/busy_test.go
@@ -189,3 +189,56 @@
 		synctest.Wait()
 	})
 }
+
+// A watch falls silent as soon as it is open, and a node drains; from then on discovery answers each call, in 1.9 s, as it is busy.
+// What the watch missed is held 6 s after it fell silent at the latest, whatever was drawn.
+func TestSilentWatchOfABusyService(t *testing.T) {
+	for round := range 40 {
+		synctest.Test(t, func(t *testing.T) {
+			calls := 0
+			c := NewClient("d", reader(), 10*time.Second, 40, true, nil)
+			if round == 0 {
+				c.lot = none
+			}
+			had := make(chan time.Duration, 100)
+			begun := time.Now()
+			c.tell = func(l *List, err error) {
+				if err == nil {
+					had <- time.Since(begun)
+				}
+			}
+			c.dial = func(context.Context, string, string) (net.Conn, error) {
+				calls++
+				watch := calls == 1
+				near, far := net.Pipe()
+				go func() {
+					defer far.Close()
+					in := httpwire.NewReader(far)
+					if _, err := httpwire.ReadRequest(in); err != nil {
+						return
+					}
+					if !watch {
+						time.Sleep(1900 * time.Millisecond)
+						far.Write(httpwire.AppendResponse(nil, 200, false, []byte(list(41, false, line("s-1", "10.0.0.1:80", "terminating", 0)))))
+					}
+					httpwire.ReadRequest(in) // until it is closed
+				}()
+				return near, nil
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			go c.Run(ctx)
+			c.Ask()
+			time.Sleep(30 * time.Second)
+			select {
+			case at := <-had:
+				if at > toldAfter {
+					t.Errorf("the drain was had %v after the watch fell silent, by %d calls", at, calls)
+				}
+			default:
+				t.Error("the drain was never had")
+			}
+			cancel()
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/discovery/call.go
+++ b/discovery/call.go
@@ -162,7 +162,7 @@
 	list, err := c.reader.Decode(answer.Body)
 	if err != nil {
 		c.known = false // next time the whole list
-		return nil, err
+		return nil, &Unreadable{c.addr, err}
 	}
 	if c.known && list.Version < c.held && !list.Whole {
 		c.known = false
--- a/discovery/errors.go
+++ b/discovery/errors.go
@@ -69,6 +69,22 @@
 	return "503 means down or too many callers, and it is asked again ever more seldom; any other status is discovery's fault"
 }
 
+// Unreadable is an answer that can't be read whole. Nothing of it is taken.
+type Unreadable struct {
+	Service string
+	Err     error
+}
+
+func (e *Unreadable) Error() string {
+	return fmt.Sprintf("discovery at %s told what can't be read: %v", e.Service, e.Err)
+}
+func (e *Unreadable) Unwrap() error { return e.Err }
+
+// Remedy is what an operator can do.
+func (e *Unreadable) Remedy() string {
+	return "the list held stands and the whole list is asked for next; correct the entry that the error names, or compare the versions of the two programs"
+}
+
 // Older is a list from before the one held.
 type Older struct {
 	Service       string
--- /dev/null
+++ b/discovery/errors_test.go
@@ -0,0 +1,79 @@
+package discovery
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"flaxfront/remedy"
+)
+
+// Whatever a service answers that is no list, nothing of it is taken, one line says what is wrong and another what an operator can do,
+// and the whole list is asked for next.
+func TestWrongAnswersChangeNothing(t *testing.T) {
+	good := line("s-1", "10.0.0.1:80", "in_service", 0)
+	for what, answer := range map[string]string{
+		"no JSON":           "{",
+		"no version":        `{"reset":true,"instances":[]}`,
+		"an unknown state":  list(41, true, good, line("s-2", "10.0.0.2:80", "resting", 0)),
+		"an address amiss":  list(41, true, good, line("s-2", "10.0.0.2", "in_service", 0)),
+		"changes to an old": list(39, false, good),
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var failures []error
+			c := NewClient("d:1", reader(), 3*time.Second, 40, true, func(l *List, err error) {
+				if failures = append(failures, err); l != nil {
+					t.Errorf("%s: a list was taken", what)
+				}
+			})
+			c.dial = func(context.Context, string, string) (net.Conn, error) { return answers(answer), nil }
+			ctx, cancel := context.WithCancel(t.Context())
+			go c.Run(ctx)
+			c.Ask()
+			synctest.Wait()
+			if len(failures) != 1 || strings.Contains(failures[0].Error(), "\n") || remedy.Of(failures[0]) == "" || c.known || c.held != 40 {
+				t.Errorf("%s: %v, remedy %q", what, failures, remedy.Of(failures[0]))
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
+// An answer that never ends, however it trickles, ends with its own request; the next is made all the same.
+func TestEndlessAnswerEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewClient("d:1", reader(), 3*time.Second, 40, true, func(l *List, err error) {})
+		dials := 0
+		c.dial = func(context.Context, string, string) (net.Conn, error) {
+			dials++
+			near, far := net.Pipe()
+			go func() {
+				defer far.Close()
+				far.Read(make([]byte, 4096))
+				io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n{")
+				for {
+					if _, err := io.WriteString(far, " "); err != nil {
+						return
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+			}()
+			return near, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go c.Run(ctx)
+		c.Ask()
+		time.Sleep(toldAfter)
+		synctest.Wait()
+		if dials < 2 {
+			t.Error("nothing was asked beside an answer that does not end")
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
--- a/server/list.go
+++ b/server/list.go
@@ -10,6 +10,7 @@
 
 	"flaxfront/broker"
 	"flaxfront/discovery"
+	"flaxfront/remedy"
 )
 
 func (l *loop) list(list *discovery.List, err error) {
@@ -21,7 +22,7 @@
 		if l.saved != nil {
 			l.saved.judge.Failed()
 		}
-		slog.Info("list not had", "error", err)
+		slog.Info("list not had", "error", err, "what_to_do", remedy.Of(err))
 		l.events = append(l.events, broker.Event{Kind: broker.ListFailed})
 		return
 	}
--- a/server/reload.go
+++ b/server/reload.go
@@ -11,6 +11,7 @@
 
 	"flaxfront/discovery"
 	"flaxfront/operator"
+	"flaxfront/remedy"
 	"flaxfront/terms"
 )
 
@@ -45,7 +46,7 @@
 		list, known, err = check(start, reader)
 	}
 	if err != nil {
-		slog.Error("configuration not taken; the old one stays in force", "error", err)
+		slog.Error("configuration not taken; the old one stays in force", "error", err, "what_to_do", remedy.Of(err))
 		return
 	}
 	have := *s.start
