--- a/discovery/busy_test.go
+++ b/discovery/busy_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -195,7 +196,7 @@
 func TestSilentWatchOfABusyService(t *testing.T) {
 	for round := range 40 {
 		synctest.Test(t, func(t *testing.T) {
-			calls := 0
+			var calls atomic.Int32
 			c := NewClient("d", reader(), 10*time.Second, 40, true, nil)
 			if round == 0 {
 				c.lot = none
@@ -208,8 +209,7 @@
 				}
 			}
 			c.dial = func(context.Context, string, string) (net.Conn, error) {
-				calls++
-				watch := calls == 1
+				watch := calls.Add(1) == 1
 				near, far := net.Pipe()
 				go func() {
 					defer far.Close()
@@ -232,7 +232,7 @@
 			select {
 			case at := <-had:
 				if at > toldAfter {
-					t.Errorf("the drain was had %v after the watch fell silent, by %d calls", at, calls)
+					t.Errorf("the drain was had %v after the watch fell silent, by %d calls", at, calls.Load())
 				}
 			default:
 				t.Error("the drain was never had")
--- a/discovery/errors_test.go
+++ b/discovery/errors_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,9 +49,9 @@
 func TestEndlessAnswerEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := NewClient("d:1", reader(), 3*time.Second, 40, true, func(l *List, err error) {})
-		dials := 0
+		var dials atomic.Int32
 		c.dial = func(context.Context, string, string) (net.Conn, error) {
-			dials++
+			dials.Add(1)
 			near, far := net.Pipe()
 			go func() {
 				defer far.Close()
@@ -70,7 +71,7 @@
 		c.Ask()
 		time.Sleep(toldAfter)
 		synctest.Wait()
-		if dials < 2 {
+		if dials.Load() < 2 {
 			t.Error("nothing was asked beside an answer that does not end")
 		}
 		cancel()
--- a/discovery/race.go
+++ b/discovery/race.go
@@ -34,6 +34,9 @@
 	}
 }
 
+// interrupt ends whatever waits on a connection. It may run after the connection was given up.
+func (c *connection) interrupt() { c.Close() }
+
 // outcome is how a request ended: by an answer or an error, on a connection that is whoever's takes the outcome.
 type outcome struct {
 	conn   *connection // nil: none came up
@@ -85,7 +88,7 @@
 		}
 	}
 	conn.calls++
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	stop := context.AfterFunc(ctx, conn.interrupt)
 	answer, err := conn.put(q.target, r.addr)
 	switch late := !stop(); {
 	case err != nil && context.Cause(ctx) == errSilent:
--- a/server/loop_test.go
+++ b/server/loop_test.go
@@ -121,7 +121,11 @@
 			}
 		}, l.subrequestEnded)
 	l.list(&discovery.List{Whole: true, Nodes: w.nodes}, nil)
-	go l.run(ctx)
+	ended := make(chan struct{})
+	go func() {
+		l.run(ctx)
+		close(ended)
+	}()
 	for n := range 150 {
 		time.Sleep(time.Duration(w.rnd.IntN(80)) * time.Millisecond)
 		synctest.Wait() // from here on nothing else runs
@@ -158,12 +162,16 @@
 			w.client(n, w.rnd.IntN(2), w.rnd.IntN(8) == 0)
 		}
 		synctest.Wait()
-		if out, _ := l.module.(checked).Decider.(pictured).Picture(); out != l.pool.Out() {
-			w.t.Errorf("step %d: the module takes %d parts to be out, %d are", n, out, l.pool.Out())
+		r := report{make(chan Tally, 1)}
+		l.in <- r
+		if now := <-r.to; now.OutByModule != now.Out {
+			w.t.Errorf("step %d: the module takes %d parts to be out, %d are", n, now.OutByModule, now.Out)
 		}
 	}
 	time.Sleep(10 * time.Second)
 	synctest.Wait()
+	cancel()
+	<-ended // the loop is nobody's now
 	if t := l.tally; t.InHand != 0 || l.places != 0 || len(l.owners)+len(l.ids)+len(l.searches) != 0 || t.Answered == 0 {
 		w.t.Errorf("at the end: %+v, %d places, %d parts", t, l.places, len(l.owners))
 	}
@@ -176,7 +184,6 @@
 	if len(l.nodes) != listing || l.pool.Nodes() > len(w.nodes) {
 		w.t.Errorf("%d nodes kept in the loop, %d in the pool, %d are listed", len(l.nodes), l.pool.Nodes(), listing)
 	}
-	cancel()
 	synctest.Wait()
 }
 
--- a/server/world_test.go
+++ b/server/world_test.go
@@ -178,6 +178,8 @@
 	w *world
 }
 
+func (c checked) Picture() (out, shut int) { return c.Decider.(pictured).Picture() }
+
 func (c checked) Turn(now time.Duration, ev []broker.Event, out []broker.Action) []broker.Action {
 	if t := c.w.loop.tally; t.Taken != t.Answered+t.Shed+t.Errored+t.Left+t.InHand {
 		c.w.t.Errorf("counters do not add up: %+v", t)
