An agent that pushes lists is asked again soon after any failure, and its outage told once

At fault: discovery.Client.step left each failure to the module, whether the call went to a service that all brokers share or to an agent of this broker's own. registryMode told the two apart and was read by nobody on sockets.

Change: terms.Pushed; Client.Pushed has a failed call made again after 0.1 to 0.2 s. TestAgentIsHeardAtItsReturn (fails without it).

--- a/discovery/busy_test.go
+++ b/discovery/busy_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -242,3 +243,53 @@
 		})
 	}
 }
+
+// An agent that refuses calls, or takes no connection, while discovery is down is asked again soon, and its outage told once: what it
+// has at the return counts in that moment. A service that all brokers share is left to the module's pauses.
+func TestAgentIsHeardAtItsReturn(t *testing.T) {
+	for _, refuses := range []bool{true, false} {
+		for _, pushed := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				const down = 20 * time.Second
+				var calls, failures atomic.Int32
+				var had atomic.Int64
+				begun := time.Now()
+				c := NewClient("d", reader(), 10*time.Second, 40, true, func(l *List, err error) {
+					if err != nil {
+						failures.Add(1)
+					} else if had.Load() == 0 {
+						had.Store(int64(time.Since(begun)))
+					}
+				})
+				if pushed {
+					c.Pushed()
+				}
+				c.dial = func(context.Context, string, string) (net.Conn, error) {
+					calls.Add(1)
+					switch {
+					case time.Since(begun) >= down:
+						return answers(list(41, true)), nil
+					case refuses:
+						return answers("jammed"), nil
+					default:
+						return nil, io.ErrClosedPipe
+					}
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				go c.Run(ctx)
+				c.Ask()
+				time.Sleep(down + time.Second)
+				synctest.Wait()
+				late := time.Duration(had.Load()) - down
+				if pushed && (late < 0 || late > agentPause || failures.Load() != 1 || calls.Load() > int32(2*down/agentPause)) {
+					t.Errorf("refuses %v: had %v after the return, %d calls, %d failures told", refuses, late, calls.Load(), failures.Load())
+				}
+				if !pushed && calls.Load() > 1 {
+					t.Errorf("refuses %v: %d calls that nobody asked for", refuses, calls.Load())
+				}
+				cancel()
+				synctest.Wait()
+			})
+		}
+	}
+}
--- a/discovery/call.go
+++ b/discovery/call.go
@@ -37,6 +37,7 @@
 const (
 	pauseLeast = 500 * time.Millisecond
 	pauseMost  = 400 * time.Millisecond
+	agentPause = 200 * time.Millisecond // before an agent of this broker's own is asked again; less than any drain is given
 )
 
 // After a move what the new service has counts as told so long after it, whatever it answers until then.
--- a/discovery/client.go
+++ b/discovery/client.go
@@ -32,6 +32,7 @@
 	ask    chan struct{}
 	dial   dialer
 	idle   *connection  // for the next call; nil: there is none
+	pushed bool         // an agent of this broker's own is asked, and what it has counts at once
 	pacer  *trust.Pacer // nil: it is asked again only when Ask says so
 	hurry  bool         // discovery has not answered since it failed, or at all: the next call does not wait for news
 	failed bool         // the last call did
@@ -41,6 +42,7 @@
 type Terms struct {
 	Reader Reader
 	Wait   time.Duration // the longest that it may hold a watch
+	Pushed bool          // an agent of this broker's own is asked
 }
 
 // NewClient makes a client that holds a version already, or nothing (known false).
@@ -50,6 +52,10 @@
 		lot: rand.N[time.Duration], ask: make(chan struct{}, 1), dial: new(net.Dialer).DialContext}
 }
 
+// Pushed has an agent of this broker's own asked again soon by the client itself, whatever failed. Danger: what the agent has when an
+// outage ends counts as told in that moment. It costs nobody else anything. It comes before Run.
+func (c *Client) Pushed() { c.pushed = true }
+
 // Pace has the client ask again by itself, as a pacer says, whenever discovery could not be asked; the first failure of
 // each outage is told, the others are not. It comes before Run. held is the version to ask for changes from, if known.
 func (c *Client) Pace(p *trust.Pacer, held uint64, known bool) {
@@ -87,7 +93,7 @@
 		c.addr, c.pending, c.held, c.known = c.pending, "", 0, false
 		c.moved, c.hurry = time.Now(), false
 		if c.next != nil {
-			c.reader, c.wait, c.next = c.next.Reader, min(c.next.Wait, longestWait), nil
+			c.reader, c.wait, c.pushed, c.next = c.next.Reader, min(c.next.Wait, longestWait), c.next.Pushed, nil
 		}
 	}
 	ctx, c.interrupt = context.WithCancel(ctx)
@@ -142,16 +148,20 @@
 		return c.paced(ctx, err)
 	}
 	broke := !c.failed && broken(err)
-	if !broke {
+	if !broke && !(c.pushed && c.failed) { // an agent's outage is told once
 		c.tell(nil, err)
 	}
 	moved := time.Since(c.moved) < countsAfterMove
-	c.failed, c.hurry = true, moved || broke
-	if !moved && !broke {
-		return false
+	c.failed, c.hurry = true, moved || broke || c.pushed
+	switch {
+	case broke:
+		c.pause(ctx, c.lot(pauseMost))
+	case c.pushed:
+		c.pause(ctx, agentPause/2+c.lot(agentPause/2))
+	case moved:
+		c.pause(ctx, c.lot(pauseMost)+max(0, pauseLeast-time.Since(began)))
 	}
-	c.pause(ctx, time.Since(began), broke)
-	return ctx.Err() == nil
+	return c.hurry && ctx.Err() == nil
 }
 
 func (c *Client) answered(list *List) {
@@ -162,15 +172,11 @@
 	}
 }
 
-// pause waits a moment before a call is made again for a watch that broke, or for one that the service just moved to refused. Danger:
-// it is so for all brokers at once, and their calls would come in step. A move ends the wait.
-func (c *Client) pause(ctx context.Context, took time.Duration, broke bool) {
+// pause waits before a call is made again by the client itself. Danger: watches break for all brokers at once, and a service that they
+// all just moved to refuses them together; their calls would come in step. A move ends the wait.
+func (c *Client) pause(ctx context.Context, d time.Duration) {
 	ctx, end := c.begin(ctx)
 	defer end()
-	d := c.lot(pauseMost)
-	if !broke {
-		d += max(0, pauseLeast-took)
-	}
 	sleep(ctx, d)
 }
 
--- a/discovery/client_test.go
+++ b/discovery/client_test.go
@@ -164,7 +164,7 @@
 		synctest.Wait()
 		other := reader()
 		other.Cells += 4
-		c.Move("old", &Terms{other, 2 * time.Second})
+		c.Move("old", &Terms{Reader: other, Wait: 2 * time.Second})
 		synctest.Wait()
 		c.Ask()
 		synctest.Wait()
--- a/lookahead/lookahead_test.go
+++ b/lookahead/lookahead_test.go
@@ -170,9 +170,9 @@
 func TestLookAllocatesNothing(t *testing.T) {
 	near, far := pair(t)
 	r := New(near, new(clock).now, 4096)
-	buf := make([]byte, 8)
+	buf, text := make([]byte, 8), []byte("12345678")
 	n := testing.AllocsPerRun(100, func() {
-		far.Write([]byte("12345678"))
+		far.Write(text)
 		io.ReadFull(r, buf)
 		r.Came(0)
 		r.Look()
--- a/server/reload.go
+++ b/server/reload.go
@@ -63,8 +63,8 @@
 			list = nil
 		}
 		s.retune(&start.Terms, moved, list)
-		if moved || have.Terms.AskEvery != start.Terms.AskEvery {
-			asked = &discovery.Terms{Reader: reader, Wait: start.Terms.AskEvery}
+		if moved || have.Terms.AskEvery != start.Terms.AskEvery || have.Terms.Pushed != start.Terms.Pushed {
+			asked = &discovery.Terms{Reader: reader, Wait: start.Terms.AskEvery, Pushed: start.Terms.Pushed}
 		}
 	}
 	if fixed = append(fixed, s.operator.Differs(file)...); s.asked != start.Discovery || asked != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -93,6 +93,9 @@
 	s.group, s.ctx = errgroup.WithContext(ctx)
 	s.nodeList = discovery.NewClient(start.Discovery.String(), s.reader, t.AskEvery, s.list.Version, s.known,
 		func(list *discovery.List, err error) { s.deliver(listed{list, err}) })
+	if t.Pushed {
+		s.nodeList.Pushed()
+	}
 	s.loop.ask = s.nodeList.Ask
 	if file.Door.On {
 		if s.loop.door, err = newDoorway(&file.Door, t); err != nil {
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -30,6 +30,7 @@
 	Idle     time.Duration // a node closes a connection that stood idle for so long
 	Dial     time.Duration // a connection that is not up by then has failed
 	AskEvery time.Duration // the longest a broker may go without hearing from discovery
+	Pushed   bool          // an agent of this broker's own holds the list and tells it at once
 	Me       int           // its number among the peers
 }
 
@@ -275,6 +276,7 @@
 	case "ask":
 		t.AskList = true
 	case "", "push":
+		f.Pushed = mode == "push"
 		t.AskList = p.sockets // discovery on sockets tells only those who ask
 	default:
 		p.fail("registryMode", "unknown form %q", mode)
