--- a/cmd/flaxfront/crew.go
+++ b/cmd/flaxfront/crew.go
@@ -10,7 +10,7 @@
 
 	"github.com/spf13/cobra"
 
-	"flaxfront/server"
+	"flaxfront/internal/server"
 )
 
 func crewOf(config, at string) (*server.CrewState, error) {
--- a/cmd/flaxfront/fleet.go
+++ b/cmd/flaxfront/fleet.go
@@ -12,11 +12,11 @@
 
 	"github.com/spf13/cobra"
 
-	"flaxfront/fleet"
-	"flaxfront/keys"
-	"flaxfront/operator"
-	"flaxfront/server"
-	"flaxfront/state/raftlog"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/cluster/raftlog"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/server"
+	"flaxfront/internal/transport/keys"
 )
 
 // asker asks the leader of the tier that the operators' file names.
--- a/cmd/flaxfront/fleetstatus.go
+++ b/cmd/flaxfront/fleetstatus.go
@@ -11,8 +11,8 @@
 
 	"github.com/spf13/cobra"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/fleet"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/ledger"
 )
 
 func statusCommand(a *asker) *cobra.Command {
--- a/cmd/flaxfront/fronts.go
+++ b/cmd/flaxfront/fronts.go
@@ -5,10 +5,10 @@
 import (
 	"log/slog"
 
-	"flaxfront/front/sru"
-	"flaxfront/front/z3950"
-	"flaxfront/operator"
-	"flaxfront/server"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/protocols/front/sru"
+	"flaxfront/internal/protocols/front/z3950"
+	"flaxfront/internal/server"
 )
 
 // addFronts opens the fronts of the operators' file.
--- a/cmd/flaxfront/keys.go
+++ b/cmd/flaxfront/keys.go
@@ -13,10 +13,10 @@
 
 	"github.com/spf13/cobra"
 
-	"flaxfront/keys"
-	"flaxfront/operator"
-	"flaxfront/server"
-	"flaxfront/terms"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/server"
+	"flaxfront/internal/transport/keys"
 )
 
 const day = 24 * time.Hour
--- a/cmd/flaxfront/main.go
+++ b/cmd/flaxfront/main.go
@@ -15,12 +15,12 @@
 
 	"github.com/spf13/cobra"
 
-	"flaxfront/broker"
-	"flaxfront/logic"
-	"flaxfront/operator"
-	"flaxfront/remedy"
-	"flaxfront/server"
-	"flaxfront/terms"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/remedy"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/logic"
+	"flaxfront/internal/server"
 )
 
 func main() {
--- a/cmd/flaxfront/nodes.go
+++ b/cmd/flaxfront/nodes.go
@@ -17,10 +17,10 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
-	"flaxfront/decide/trust"
-	"flaxfront/operator"
-	"flaxfront/state/nodelist"
-	"flaxfront/terms"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/trust"
+	"flaxfront/internal/discovery/nodelist"
 )
 
 func configCommand(file *string) *cobra.Command {
--- a/cmd/flaxfront/search.go
+++ b/cmd/flaxfront/search.go
@@ -18,11 +18,11 @@
 
 	"github.com/spf13/cobra"
 
-	"flaxfront/catalogue"
-	"flaxfront/query"
-	"flaxfront/server"
-	"flaxfront/sru"
-	"flaxfront/z3950"
+	"flaxfront/internal/protocols/catalogue"
+	"flaxfront/internal/protocols/query"
+	"flaxfront/internal/protocols/sru"
+	"flaxfront/internal/protocols/z3950"
+	"flaxfront/internal/server"
 )
 
 // asking is what the client is told to do.
--- a/cmd/flaxfront/search_test.go
+++ b/cmd/flaxfront/search_test.go
@@ -7,10 +7,10 @@
 	"strings"
 	"testing"
 
-	"flaxfront/front/sru"
-	"flaxfront/front/z3950"
-	"flaxfront/lab/archive"
-	"flaxfront/operator"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/lab/archive"
+	"flaxfront/internal/protocols/front/sru"
+	"flaxfront/internal/protocols/front/z3950"
 )
 
 // The small client speaks with both fronts, and says what they say.
--- a/cmd/flaxlab/capacity.go
+++ b/cmd/flaxlab/capacity.go
@@ -16,7 +16,7 @@
 
 	"github.com/spf13/cobra"
 
-	"flaxfront/lab"
+	"flaxfront/internal/lab"
 )
 
 func capacityCommand() *cobra.Command {
--- a/cmd/flaxlab/crew.go
+++ b/cmd/flaxlab/crew.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"flaxfront/lab/crew"
+	"flaxfront/internal/lab/crew"
 )
 
 func crewCommand() *cobra.Command {
--- a/cmd/flaxlab/flood.go
+++ b/cmd/flaxlab/flood.go
@@ -15,7 +15,7 @@
 
 	"github.com/spf13/cobra"
 
-	"flaxfront/lab"
+	"flaxfront/internal/lab"
 )
 
 func floodCommand() *cobra.Command {
--- a/cmd/flaxlab/live.go
+++ b/cmd/flaxlab/live.go
@@ -17,12 +17,12 @@
 
 	"github.com/spf13/cobra"
 
-	"flaxfront/broker"
-	"flaxfront/lab"
-	"flaxfront/logic"
-	"flaxfront/operator"
-	"flaxfront/server"
-	"flaxfront/terms"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/logic"
+	"flaxfront/internal/lab"
+	"flaxfront/internal/server"
 )
 
 // live is a broker in this process.
--- a/cmd/flaxlab/main.go
+++ b/cmd/flaxlab/main.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"flaxfront/lab"
+	"flaxfront/internal/lab"
 )
 
 func main() {
--- a/cmd/flaxlab/play.go
+++ b/cmd/flaxlab/play.go
@@ -19,8 +19,8 @@
 
 	"github.com/spf13/cobra"
 
-	"flaxfront/lab/play"
-	"flaxfront/lab/script"
+	"flaxfront/internal/lab/play"
+	"flaxfront/internal/lab/script"
 )
 
 func checkCommand() *cobra.Command {
--- a/cmd/flaxlab/sites.go
+++ b/cmd/flaxlab/sites.go
@@ -15,8 +15,8 @@
 
 	"github.com/spf13/cobra"
 
-	"flaxfront/keys"
-	"flaxfront/lab"
+	"flaxfront/internal/lab"
+	"flaxfront/internal/transport/keys"
 )
 
 // pair is two sites and the wire between them; the first asks, the second is asked.
--- a/cmd/flaxlab/stage.go
+++ b/cmd/flaxlab/stage.go
@@ -10,9 +10,9 @@
 	"text/tabwriter"
 	"time"
 
-	"flaxfront/lab"
-	"flaxfront/lab/play"
-	"flaxfront/lab/script"
+	"flaxfront/internal/lab"
+	"flaxfront/internal/lab/play"
+	"flaxfront/internal/lab/script"
 )
 
 // playLive plays a script on sockets and in virtual time, and prints both.
--- a/cmd/flaxlab/study.go
+++ b/cmd/flaxlab/study.go
@@ -17,11 +17,11 @@
 
 	"github.com/spf13/cobra"
 
-	"flaxfront/lab/hunt"
-	"flaxfront/lab/judge"
-	"flaxfront/lab/play"
-	"flaxfront/lab/report"
-	"flaxfront/lab/script"
+	"flaxfront/internal/lab/hunt"
+	"flaxfront/internal/lab/judge"
+	"flaxfront/internal/lab/play"
+	"flaxfront/internal/lab/report"
+	"flaxfront/internal/lab/script"
 )
 
 func readResults(path string) (all []*play.Result, err error) {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"os"
 
-	"flaxfront/broker"
-	"flaxfront/logic"
-	"flaxfront/simwire"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/logic"
+	"flaxfront/internal/protocols/simwire"
 )
 
 func main() {
--- a/agree/agree.go
+++ b/internal/cluster/agree/agree.go
@@ -6,6 +6,9 @@
 //
 // The caller hands in what arrives (Step), what is to be agreed (Propose) and the time (Tick), then calls Out, which saves,
 // applies and returns what is to be sent. Several calls before one Out share one fsync. A Node is for one goroutine.
+//
+// Depends on no package of this module. Concurrency: nothing here locks or starts a goroutine; a value is
+// used by one goroutine at a time.
 package agree
 
 import (
--- a/agree/agree_test.go
+++ b/internal/cluster/agree/agree_test.go
@@ -7,7 +7,7 @@
 
 	pb "go.etcd.io/raft/v3/raftpb"
 
-	"flaxfront/state/raftlog/crashfs"
+	"flaxfront/internal/cluster/raftlog/crashfs"
 )
 
 // calm is a world in which nothing breaks, with a leader.
--- a/agree/bench_test.go
+++ b/internal/cluster/agree/bench_test.go
@@ -8,7 +8,7 @@
 
 	pb "go.etcd.io/raft/v3/raftpb"
 
-	"flaxfront/state/raftlog"
+	"flaxfront/internal/cluster/raftlog"
 )
 
 type sink struct{ applied int }
--- a/agree/simfaults_test.go
+++ b/internal/cluster/agree/simfaults_test.go
@@ -7,7 +7,7 @@
 
 	pb "go.etcd.io/raft/v3/raftpb"
 
-	"flaxfront/state/raftlog"
+	"flaxfront/internal/cluster/raftlog"
 )
 
 const faulty = 8 * time.Second // the time of faults
--- a/agree/simworld_test.go
+++ b/internal/cluster/agree/simworld_test.go
@@ -9,8 +9,8 @@
 	"math/rand/v2"
 	"time"
 
-	"flaxfront/state/raftlog"
-	"flaxfront/state/raftlog/crashfs"
+	"flaxfront/internal/cluster/raftlog"
+	"flaxfront/internal/cluster/raftlog/crashfs"
 )
 
 const (
--- a/fleet/client.go
+++ b/internal/cluster/fleet/client.go
@@ -11,7 +11,7 @@
 	"net"
 	"time"
 
-	"flaxfront/keys"
+	"flaxfront/internal/transport/keys"
 )
 
 const askEvery = 200 * time.Millisecond
--- a/fleet/client_test.go
+++ b/internal/cluster/fleet/client_test.go
@@ -8,10 +8,10 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
-	"flaxfront/keys"
-	"flaxfront/state/raftlog"
+	"flaxfront/internal/cluster/raftlog"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/transport/keys"
 )
 
 // An operator's requests over real sockets: answered by the leader, whichever voter is named first; refused with advice; and not
--- a/fleet/cluster_test.go
+++ b/internal/cluster/fleet/cluster_test.go
@@ -14,9 +14,9 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/keys"
-	"flaxfront/state/raftlog"
+	"flaxfront/internal/cluster/raftlog"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/transport/keys"
 )
 
 // wires are a network of listeners by address.
--- a/fleet/conn.go
+++ b/internal/cluster/fleet/conn.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"flaxfront/keys"
+	"flaxfront/internal/transport/keys"
 )
 
 const (
--- a/fleet/duty.go
+++ b/internal/cluster/fleet/duty.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/ledger"
 )
 
 // Moment is what a duty of the leader decides on.
--- a/fleet/errors.go
+++ b/internal/cluster/fleet/errors.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/ledger"
 )
 
 // Unfit refuses to start a voter without what it needs.
--- a/fleet/faults_test.go
+++ b/internal/cluster/fleet/faults_test.go
@@ -8,8 +8,8 @@
 
 	pb "go.etcd.io/raft/v3/raftpb"
 
-	"flaxfront/agree"
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/cluster/agree"
+	"flaxfront/internal/decision/ledger"
 )
 
 // failing is a disk that fails from a moment on.
--- a/fleet/feed.go
+++ b/internal/cluster/fleet/feed.go
@@ -5,7 +5,7 @@
 import (
 	"log/slog"
 
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/ledger"
 )
 
 const (
--- a/fleet/fleet.go
+++ b/internal/cluster/fleet/fleet.go
@@ -2,6 +2,10 @@
 // voters' packets, the feed that the other brokers follow, proposals on their way to the leader, sessions with their leases,
 // reports, facts that are shared outside the log, and operators' requests. All runs in goroutines of its own. It must never make
 // the search loop wait, act on a lease that its own clock does not show to be running, or take what one broker says for agreed.
+//
+// Depends on cluster/agree, decision/broker, decision/ledger, decision/release, transport/keys.
+// Concurrency: goroutines of its own, which the caller's context ends; what they share with callers is
+// behind a lock or an atomic value.
 package fleet
 
 import (
@@ -13,11 +17,11 @@
 	"sync/atomic"
 	"time"
 
-	"flaxfront/agree"
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
-	"flaxfront/decide/release"
-	"flaxfront/keys"
+	"flaxfront/internal/cluster/agree"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/decision/release"
+	"flaxfront/internal/transport/keys"
 )
 
 // Voter is one broker that agrees, by the name in its certificate.
--- a/fleet/fleet_test.go
+++ b/internal/cluster/fleet/fleet_test.go
@@ -9,9 +9,9 @@
 	"testing/synctest"
 	"time"
 
-	"flaxfront/agree"
-	"flaxfront/decide/ledger"
-	"flaxfront/state/raftlog"
+	"flaxfront/internal/cluster/agree"
+	"flaxfront/internal/cluster/raftlog"
+	"flaxfront/internal/decision/ledger"
 )
 
 // inside runs a test in a bubble with its own time, which fails where a goroutine is left behind.
--- a/fleet/fuzz_test.go
+++ b/internal/cluster/fleet/fuzz_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/keys"
+	"flaxfront/internal/transport/keys"
 )
 
 // Whatever comes over a connection ends it or is passed over; it panics nowhere, and takes no more room than its own bytes.
--- a/fleet/lead.go
+++ b/internal/cluster/fleet/lead.go
@@ -10,8 +10,8 @@
 	"log/slog"
 	"time"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/decide/release"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/decision/release"
 )
 
 const leadEvery = 100 * time.Millisecond
--- a/fleet/net.go
+++ b/internal/cluster/fleet/net.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"flaxfront/keys"
+	"flaxfront/internal/transport/keys"
 )
 
 const (
--- a/fleet/plan.go
+++ b/internal/cluster/fleet/plan.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"slices"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/decide/release"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/decision/release"
 )
 
 func (f *Fleet) wantedNode(verb string, r *Request) (ledger.Entry, error) {
--- a/fleet/propose.go
+++ b/internal/cluster/fleet/propose.go
@@ -7,8 +7,8 @@
 	"context"
 	"time"
 
-	"flaxfront/agree"
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/cluster/agree"
+	"flaxfront/internal/decision/ledger"
 )
 
 const (
--- a/fleet/release_test.go
+++ b/internal/cluster/fleet/release_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/decide/release"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/decision/release"
 )
 
 var rounds = flag.Int("rounds", 4, "seeds of releases under cuts")
--- a/fleet/report.go
+++ b/internal/cluster/fleet/report.go
@@ -5,8 +5,8 @@
 import (
 	"time"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/decide/release"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/decision/release"
 )
 
 // Report is what a broker has done since its start; the figures only grow.
--- a/fleet/request.go
+++ b/internal/cluster/fleet/request.go
@@ -8,8 +8,8 @@
 	"fmt"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
 )
 
 // The verbs of requests.
--- a/fleet/session.go
+++ b/internal/cluster/fleet/session.go
@@ -8,7 +8,7 @@
 	"log/slog"
 	"time"
 
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/ledger"
 )
 
 const joinEvery = 200 * time.Millisecond
--- a/fleet/share_test.go
+++ b/internal/cluster/fleet/share_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
 )
 
 // Facts are never older than they are said to be.
--- a/fleet/take.go
+++ b/internal/cluster/fleet/take.go
@@ -8,7 +8,7 @@
 	"log/slog"
 	"slices"
 
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/ledger"
 )
 
 // take does what a frame asks for. A side that sends what makes no sense is not trusted further.
--- a/fleet/traffic_test.go
+++ b/internal/cluster/fleet/traffic_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/ledger"
 )
 
 var brokers = flag.Int("brokers", 40, "in the tier whose traffic is measured")
--- a/fleet/view.go
+++ b/internal/cluster/fleet/view.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
 )
 
 const publishEvery = 10 * time.Millisecond
--- a/policy/check.go
+++ b/internal/cluster/policy/check.go
@@ -6,8 +6,8 @@
 
 	"cel.dev/cel-go/cel"
 
-	"flaxfront/decide/divide"
-	"flaxfront/form"
+	"flaxfront/internal/config/form"
+	"flaxfront/internal/decision/divide"
 )
 
 // compiler turns a file into a policy. Conditions on nodes only choose a class, and all amounts follow from the class: so a
--- a/policy/expression.go
+++ b/internal/cluster/policy/expression.go
@@ -89,11 +89,12 @@
 		}
 	}
 	slices.Sort(names) // the same error everywhere
-	for _, name := range names {
-		if slices.Contains(moved, name) {
-			return nil, &Unsettled{text, name}
-		}
-		return nil, &Expression{text, 0, fmt.Sprintf("%s is not known here, only %v", name, allowed)}
+	switch {
+	case len(names) == 0:
+	case slices.Contains(moved, names[0]):
+		return nil, &Unsettled{text, names[0]}
+	default:
+		return nil, &Expression{text, 0, fmt.Sprintf("%s is not known here, only %v", names[0], allowed)}
 	}
 	estimate, err := e.env.EstimateCost(ast, sizes{})
 	if err != nil {
--- a/policy/policy.go
+++ b/internal/cluster/policy/policy.go
@@ -3,14 +3,17 @@
 // policy that could divide more than there is, starve a guarantee or never settle is refused with line and reason. It must
 // never look at a clock, at a load or at anything else that brokers could see differently: the same text is the same policy
 // on all of them.
+//
+// Depends on config/form, decision/divide. Concurrency: nothing here locks or starts a goroutine; a value
+// is used by one goroutine at a time.
 package policy
 
 import (
 	"fmt"
 	"time"
 
-	"flaxfront/decide/divide"
-	"flaxfront/form"
+	"flaxfront/internal/config/form"
+	"flaxfront/internal/decision/divide"
 )
 
 // maxText bounds a policy, as it goes to every broker and into every snapshot.
--- a/policy/policy_test.go
+++ b/internal/cluster/policy/policy_test.go
@@ -7,12 +7,12 @@
 	"strings"
 	"testing"
 
-	"flaxfront/form"
-	"flaxfront/remedy"
+	"flaxfront/internal/config/form"
+	"flaxfront/internal/config/remedy"
 )
 
 func example(t testing.TB) string {
-	text, err := os.ReadFile("../deploy/connections.json5")
+	text, err := os.ReadFile("../../../deploy/connections.json5")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/policy/table.go
+++ b/internal/cluster/policy/table.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"flaxfront/decide/divide"
+	"flaxfront/internal/decision/divide"
 )
 
 // table evaluates every tenant in every class, and checks each class as a whole.
--- a/state/raftlog/crashfs/crashfs.go
+++ b/internal/cluster/raftlog/crashfs/crashfs.go
@@ -1,5 +1,8 @@
 // Package crashfs is a file system in memory for tests: it forgets in a crash what was not fsynced, fails at a step that the
 // test names, and fills up. It owns nothing outside memory and must never be used but in tests.
+//
+// Depends on discovery/nodelist. Concurrency: nothing here locks or starts a goroutine; a value is used by
+// one goroutine at a time.
 package crashfs
 
 import (
@@ -12,7 +15,7 @@
 	"path/filepath"
 	"syscall"
 
-	"flaxfront/state/nodelist"
+	"flaxfront/internal/discovery/nodelist"
 )
 
 // ErrCrash is what each step returns after the one that the test named.
--- a/state/raftlog/fuzz_test.go
+++ b/internal/cluster/raftlog/fuzz_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"flaxfront/state/raftlog/crashfs"
+	"flaxfront/internal/cluster/raftlog/crashfs"
 )
 
 // Whatever a file holds, it is taken or refused with a type of its own; what was taken once reads the same again.
--- a/state/raftlog/raftlog.go
+++ b/internal/cluster/raftlog/raftlog.go
@@ -10,6 +10,9 @@
 // A generation begins at each start and with each snapshot: it is written whole under another name, fsynced, renamed, and
 // the directory fsynced. So a start finds one file that is whole up to its last frames, and of those only the last, that no
 // Save has vouched for, may be torn.
+//
+// Depends on discovery/nodelist. Concurrency: nothing here locks or starts a goroutine; a value is used by
+// one goroutine at a time.
 package raftlog
 
 import (
@@ -22,7 +25,7 @@
 	"github.com/gofrs/flock"
 	pb "go.etcd.io/raft/v3/raftpb"
 
-	"flaxfront/state/nodelist"
+	"flaxfront/internal/discovery/nodelist"
 )
 
 // FS is the way to the disk, so that tests can cut it off at every step.
--- a/state/raftlog/raftlog_test.go
+++ b/internal/cluster/raftlog/raftlog_test.go
@@ -8,7 +8,7 @@
 
 	pb "go.etcd.io/raft/v3/raftpb"
 
-	"flaxfront/state/raftlog/crashfs"
+	"flaxfront/internal/cluster/raftlog/crashfs"
 )
 
 func options(d FS) Options {
--- a/state/seeds/seeds.go
+++ b/internal/cluster/seeds/seeds.go
@@ -1,6 +1,9 @@
 // Package seeds keeps the addresses of a tier's members on disk, so that a broker that starts again finds the others although its
 // configured seeds are gone. It owns one small file, written whole and put in place at once. It must never make the loop wait, or let
 // an address through that it could not read.
+//
+// Depends on no package of this module. Concurrency: nothing here locks or starts a goroutine; a value is
+// used by one goroutine at a time.
 package seeds
 
 import (
--- a/form/form.go
+++ b/internal/config/form/form.go
@@ -8,6 +8,9 @@
 // github.com/creasty/defaults would replace the 18 lines of fill, and does not hold defaults against the ranges.
 // github.com/go-playground/validator and github.com/go-viper/mapstructure were not tried: both work on values that were read
 // already, in which the place of a field in the text is lost.
+//
+// Depends on no package of this module. Concurrency: it keeps no state and starts no goroutine, so that its
+// functions may be called from any goroutine; what they return is the caller's.
 package form
 
 import (
--- a/operator/operator.go
+++ b/internal/config/operator/operator.go
@@ -1,6 +1,9 @@
 // Package operator reads the operators' own file: JSON with comments and trailing commas, in which every feature that
 // the platform does not ask for is switched on. It owns the form of the file, its defaults and its ranges. It must never
 // open what the file names, guess at a key that it does not know, or change anything where there is no file.
+//
+// Depends on config/form. Concurrency: it keeps no state and starts no goroutine, so that its functions may
+// be called from any goroutine; what they return is the caller's.
 package operator
 
 import (
@@ -13,7 +16,7 @@
 	"strings"
 	"time"
 
-	"flaxfront/form"
+	"flaxfront/internal/config/form"
 )
 
 // File is what the operators' file says, defaults filled in. The zero value of Start.NodeList.Directory leaves the
--- a/operator/operator_test.go
+++ b/internal/config/operator/operator_test.go
@@ -67,7 +67,7 @@
 
 // The example names every key, and says the defaults but for the directory.
 func TestExample(t *testing.T) {
-	f, err := Read("../deploy/operator.json5")
+	f, err := Read("../../../deploy/operator.json5")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -80,7 +80,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	example, err := os.ReadFile("../deploy/operator.json5")
+	example, err := os.ReadFile("../../../deploy/operator.json5")
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/remedy/remedy.go
+++ b/internal/config/remedy/remedy.go
@@ -1,6 +1,9 @@
 // Package remedy owns the form of errors that an operator reads: each has a type of its own, which says what went wrong and
 // what can be done. It depends on nothing, so that every package may give its errors the method without importing it. It must
 // never act on an error, or make up advice where the error has none.
+//
+// Depends on no package of this module. Concurrency: it keeps no state and starts no goroutine, so that its
+// functions may be called from any goroutine; what they return is the caller's.
 package remedy
 
 import (
--- a/remedy/remedy_test.go
+++ b/internal/config/remedy/remedy_test.go
@@ -87,7 +87,7 @@
 
 // The operators' page lists every error that has a remedy, and no other.
 func TestPage(t *testing.T) {
-	page, err := os.ReadFile("../docs/operations/errors.md")
+	page, err := os.ReadFile("../../../docs/operations/errors.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/terms/terms.go
+++ b/internal/config/terms/terms.go
@@ -1,6 +1,9 @@
 // Package terms reads what a broker is told at its start. It owns the one decoding of the settings object, which
 // the simulator writes as path=value lines and the platform as nested JSON, and the configuration file round it.
 // It must never decide anything, fill in a figure of its own, or let a setting through that it could not read.
+//
+// Depends on decision/broker. Concurrency: it keeps no state and starts no goroutine, so that its functions
+// may be called from any goroutine; what they return is the caller's.
 package terms
 
 import (
@@ -16,7 +19,7 @@
 	"strings"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Terms are the settings: the module's, and those that only a front on sockets needs.
--- a/terms/terms_test.go
+++ b/internal/config/terms/terms_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 const settings = `{"azs":["north","south side"],"balancers":2,"me":1,
--- a/decide/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -5,6 +5,9 @@
 //
 // Between tenants it is start-time fair queuing (Goyal, Vin and Cheng, 1996) by work; how much work may be in hand at once is
 // found by the delay that it meets, in the spirit of CoDel (RFC 8289) and of TCP Vegas.
+//
+// Depends on no package of this module. Concurrency: nothing here locks or starts a goroutine; a value is
+// used by one goroutine at a time.
 package admission
 
 import (
--- a/decide/duties/crew_test.go
+++ b/internal/decision/duties/crew_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/duties"
-	"flaxfront/decide/members"
-	"flaxfront/lab/crew"
+	"flaxfront/internal/decision/duties"
+	"flaxfront/internal/decision/members"
+	"flaxfront/internal/lab/crew"
 )
 
 var chores = []duties.Duty{{Name: "list", Period: 2 * time.Second}, {Name: "records", Period: 5 * time.Second}, {Name: "probes", Period: 10 * time.Second}}
--- a/decide/ledger/ledger.go
+++ b/internal/decision/ledger/ledger.go
@@ -14,9 +14,12 @@
 //	if r.Err != nil { ... }           // *Refused, *Unknown, *Malformed, *Replayed
 //	p, ok := s.Permit(3)              // p.Number fences it; p.Used
 //	same, err := ledger.Restore(s.Snapshot())
+//
+// Depends on decision/broker. Concurrency: nothing here locks or starts a goroutine; a value is used by one
+// goroutine at a time.
 package ledger
 
-import "flaxfront/broker"
+import "flaxfront/internal/decision/broker"
 
 // State is the machine. It is not safe for use by several goroutines; what queries return is the caller's own unless they say so.
 type State struct {
--- a/logic/actors.go
+++ b/internal/decision/logic/actors.go
@@ -4,13 +4,15 @@
 //
 // Three kinds of actor share the work: the desk (searches in hand), one node actor for each store node
 // (its health) and the keeper (the node list). They talk only by notes; Logic.run empties the inboxes.
+//
+// Depends on decision/broker. Concurrency: one goroutine calls it; the actors inside are no goroutines.
 package logic
 
 // This file owns how notes travel between the actors, and what a front calls. It holds no decision.
 
 import (
 	"encoding/binary"
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 	"fmt"
 	"hash"
 	"hash/fnv"
--- a/logic/asked_test.go
+++ b/internal/decision/logic/asked_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Whatever failed before, the list is asked for again soon. A change counts as told 6 s after discovery had it and could be reached;
--- a/logic/board.go
+++ b/internal/decision/logic/board.go
@@ -3,7 +3,7 @@
 // This file owns the board: which nodes there are, in which cells, and how the list's lines reach them. It holds no decision.
 
 import (
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 	"slices"
 	"time"
 )
--- a/logic/books.go
+++ b/internal/decision/logic/books.go
@@ -3,7 +3,7 @@
 // This file owns the desk's books of searches and parts: in, out, called off, counted against the budget. It holds no decision.
 
 import (
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 	"slices"
 	"time"
 )
--- a/logic/choose.go
+++ b/internal/decision/logic/choose.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // ride finds a call of this turn that can take the part too, to a node where its row of holders begins, or
--- a/logic/coldsum_test.go
+++ b/internal/decision/logic/coldsum_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Rule 4 by its letter, under the sum of twenty or thirty brokers: a node that comes back cold gets no more than N, and what chance
--- a/logic/course_test.go
+++ b/internal/decision/logic/course_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 func TestWholeAtOnceAndPartialAtTheDeadline(t *testing.T) {
--- a/logic/eased_test.go
+++ b/internal/decision/logic/eased_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // easedRig is a rig whose nodes are all eased in.
--- a/logic/floors_test.go
+++ b/internal/decision/logic/floors_test.go
@@ -7,7 +7,7 @@
 	"slices"
 	"testing"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // flood plays 30 s in which four nodes, that serve 50 parts a second each in turn, are asked for a third more and more than they
--- a/logic/full_test.go
+++ b/internal/decision/logic/full_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // While parts are turned away all over, a node that turned one away is full, not sick: it is shut only for the second without an
--- a/logic/helpers_test.go
+++ b/internal/decision/logic/helpers_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 const ms = time.Millisecond
--- a/logic/learn.go
+++ b/internal/decision/logic/learn.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 func (d *desk) ended(e *broker.Event) {
--- a/logic/light_test.go
+++ b/internal/decision/logic/light_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // skewed asks for a search of the second type, whose parts count 70, 20, 5 and 5 in a hundred, and returns how many are sent.
--- a/logic/logic.go
+++ b/internal/decision/logic/logic.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 const (
--- a/logic/logic_test.go
+++ b/internal/decision/logic/logic_test.go
@@ -8,7 +8,7 @@
 	"testing/quick"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // All six rules hold after every step of random runs, whatever the order of events.
--- a/logic/lost_test.go
+++ b/internal/decision/logic/lost_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Calls that a node swallowed while it hung tell nothing of it once it answers what it was sent after: it is neither shut as
--- a/logic/move_test.go
+++ b/internal/decision/logic/move_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Where nodes may be probed, a part waits for a holder that shows life, and goes all the same once it has waited for long
--- a/logic/node.go
+++ b/internal/decision/logic/node.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 func (k *keeper) read(n *note) {
--- a/logic/only_test.go
+++ b/internal/decision/logic/only_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // narrow brings a search of one part that only some nodes may be sent.
--- a/logic/records.go
+++ b/internal/decision/logic/records.go
@@ -3,7 +3,7 @@
 // This file owns the records that decisions draw on: rates, latencies, shares, votes, sets of places. It holds no decision.
 
 import (
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 	"math"
 	mathbits "math/bits"
 	"slices"
--- a/logic/rules_test.go
+++ b/internal/decision/logic/rules_test.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 func (r *rig) checkSend(a *broker.Action) {
--- a/logic/state.go
+++ b/internal/decision/logic/state.go
@@ -3,7 +3,7 @@
 // This file owns the shapes of what the module keeps: nodes, searches, and the desk that holds both. It holds no decision.
 
 import (
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 	"slices"
 	"time"
 )
--- a/logic/trust_test.go
+++ b/internal/decision/logic/trust_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // A node that answers nothing, or refuses at once (incident i06ac50), gets a trial now and then and is
--- a/logic/worth.go
+++ b/internal/decision/logic/worth.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // refuse tells whether a new search should be turned away for lack of time. Danger: under overload all
--- a/decide/members/members.go
+++ b/internal/decision/members/members.go
@@ -3,6 +3,9 @@
 // anybody is suspected, news carried by the probes themselves, suspicion that shortens as others agree, and an observer that
 // knows how late it is itself. Messages fit into the bytes that the caller allows. Nothing here does I/O, reads a clock or
 // starts a goroutine: the caller hands over what came and when, and sends what Out returns.
+//
+// Depends on no package of this module. Concurrency: nothing here locks or starts a goroutine; a value is
+// used by one goroutine at a time.
 package members
 
 import (
--- a/decide/members/members_test.go
+++ b/internal/decision/members/members_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/members"
-	"flaxfront/lab/crew"
+	"flaxfront/internal/decision/members"
+	"flaxfront/internal/lab/crew"
 )
 
 func tier(seed uint64, brokers int, loss float64) *crew.Crew {
--- a/decide/pins/choose.go
+++ b/internal/decision/pins/choose.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Ask is what a search wants of its reads.
--- a/decide/pins/fact.go
+++ b/internal/decision/pins/fact.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // fact is what is known of one shard at one holder, in moments of this broker's clock.
--- a/decide/pins/hot.go
+++ b/internal/decision/pins/hot.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 const (
--- a/decide/pins/pins.go
+++ b/internal/decision/pins/pins.go
@@ -3,13 +3,16 @@
 // answers and by other brokers' word, and the order of holders that all brokers compute alike. It must never be optimistic:
 // each error of a clock, each moment that can't be told apart, counts against freshness. It does no I/O, reads no clock and starts
 // no goroutine; which of the eligible holders is sent to is the decision module's to say.
+//
+// Depends on decision/broker. Concurrency: nothing here locks or starts a goroutine; a value is used by one
+// goroutine at a time.
 package pins
 
 import (
 	"slices"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Config is what a book is kept by.
--- a/decide/pins/pins_test.go
+++ b/internal/decision/pins/pins_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 const ms = time.Millisecond
--- a/decide/pins/truth_test.go
+++ b/internal/decision/pins/truth_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // replica is one that is known from outside: when its state is of, and what it says of that by a clock that is off.
--- a/decide/pins/wire.go
+++ b/internal/decision/pins/wire.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 const (
--- a/decide/release/compare.go
+++ b/internal/decision/release/compare.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/ledger"
 )
 
 // present are the targets that serve, and on which side of the comparison each is.
--- a/decide/release/evidence.go
+++ b/internal/decision/release/evidence.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/ledger"
 )
 
 // Metric is a way in which a search goes wrong.
--- a/decide/release/release.go
+++ b/internal/decision/release/release.go
@@ -5,6 +5,9 @@
 //	p := release.New(settings, term, now)   // when Lead of this term was applied here: evidence starts anew
 //	p.Take(report, now)                     // whenever a broker's counts come
 //	entries, next := p.Next(state, now)     // to be proposed; call again at next, or when the ledger has moved
+//
+// Depends on decision/ledger. Concurrency: nothing here locks or starts a goroutine; a value is used by one
+// goroutine at a time.
 package release
 
 import (
@@ -14,7 +17,7 @@
 	"strings"
 	"time"
 
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/ledger"
 )
 
 // Settings of gates and pace.
--- a/decide/release/release_test.go
+++ b/internal/decision/release/release_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/ledger"
 )
 
 func seeds(least int) int {
--- a/decide/release/world_test.go
+++ b/internal/decision/release/world_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/ledger"
 )
 
 // world is a tier in virtual time: what the planner proposes is applied a little later, brokers that may go are away for a while.
--- a/decide/routes/far.go
+++ b/internal/decision/routes/far.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Origin names a near process: the broker's link and the epoch of its process.
--- a/decide/routes/model_test.go
+++ b/internal/decision/routes/model_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // This file checks the protocol of one forwarded search over the real Near and Far: every interleaving of what a link, two
--- a/decide/routes/near.go
+++ b/internal/decision/routes/near.go
@@ -4,6 +4,9 @@
 //
 // The near side forwards nothing but what the decision module sheds, so that the ordinary path stays as it is, and so that
 // rule 2 holds by the module's own word: it sheds only what may be asked again without harm. A search makes one hop at most.
+//
+// Depends on decision/broker. Concurrency: nothing here locks or starts a goroutine; a value is used by one
+// goroutine at a time.
 package routes
 
 import (
@@ -11,7 +14,7 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Policy holds what operators may set.
--- a/decide/routes/routes_test.go
+++ b/internal/decision/routes/routes_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // The courses that are drawn are the same in each run; -rapid.seed given on the command line draws others.
--- a/decide/trust/evidence.go
+++ b/internal/decision/trust/evidence.go
@@ -1,7 +1,7 @@
 package trust
 
 import (
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 	"math"
 	"time"
 )
--- a/decide/trust/judge.go
+++ b/internal/decision/trust/judge.go
@@ -8,7 +8,7 @@
 	"math"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Policy holds what operators may set.
--- a/decide/trust/told.go
+++ b/internal/decision/trust/told.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 	"slices"
 	"time"
 )
--- a/decide/trust/trust_test.go
+++ b/internal/decision/trust/trust_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // The courses that are drawn are the same in each run; -rapid.seed given on the command line draws others.
@@ -363,8 +363,11 @@
 	if p.Limit() != limitFirst || p.Jammed() > jamFirst {
 		t.Error("not forgotten")
 	}
-	q := NewPacer(pace, 8)
-	if p.Knock() == q.Knock() && p.Knock() == q.Knock() {
+	q, apart := NewPacer(pace, 8), false
+	for range 2 {
+		apart = apart || p.Knock() != q.Knock()
+	}
+	if !apart {
 		t.Error("two brokers in step")
 	}
 }
--- a/decide/trust/word_test.go
+++ b/internal/decision/trust/word_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Another broker's word on one node takes that one out of use and confirms no other: all else of an old list stays doubtful and
--- a/decide/units/agent_test.go
+++ b/internal/decision/units/agent_test.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
 )
 
 // agent is a broker.
--- a/decide/units/audit_test.go
+++ b/internal/decision/units/audit_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/ledger"
 )
 
 var (
--- a/decide/units/baseline_test.go
+++ b/internal/decision/units/baseline_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/divide"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/divide"
 )
 
 // baseline is one way to share connections, in steps of 100 ms: who wants how many, and who holds what.
--- a/decide/units/granter.go
+++ b/internal/decision/units/granter.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/divide"
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/divide"
+	"flaxfront/internal/decision/ledger"
 )
 
 // mostGrant bounds a grant in bytes, about. Danger: an entry that is too large for the log is never agreed, and its broker would get
--- a/decide/units/holder.go
+++ b/internal/decision/units/holder.go
@@ -1,6 +1,9 @@
 // Package units is who may hold which connections when. It owns both sides of a grant: a broker's, which counts its own
 // connections and closes what it must before a lease ends, and the granter's, which gives a unit to another only when it is
 // surely free. It must never divide (divide does), talk, or look at a clock: times come in.
+//
+// Depends on decision/broker, decision/divide, decision/ledger. Concurrency: nothing here locks or starts a
+// goroutine; a value is used by one goroutine at a time.
 package units
 
 import (
@@ -8,7 +11,7 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // drift bounds how far a clock strays: one part in so many. Danger: two clocks that run at different speeds measure different
--- a/decide/units/need.go
+++ b/internal/decision/units/need.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Needs measures what a broker could use.
--- a/decide/units/need_test.go
+++ b/internal/decision/units/need_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 func FuzzDecode(f *testing.F) {
--- a/decide/units/shift_test.go
+++ b/internal/decision/units/shift_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/divide"
+	"flaxfront/internal/decision/divide"
 )
 
 // TestShift has all demand move at once, and measures three leases later how far what brokers hold is from the ideal: the exact
--- a/decide/units/world_test.go
+++ b/internal/decision/units/world_test.go
@@ -6,9 +6,9 @@
 	"math/rand/v2"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/divide"
-	"flaxfront/decide/ledger"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/divide"
+	"flaxfront/internal/decision/ledger"
 )
 
 // world is a tier in virtual time: brokers with clocks of their own, links that stall, processes that stop, one agreed ledger
--- a/decide/words/words.go
+++ b/internal/decision/words/words.go
@@ -1,13 +1,16 @@
 // Package words decides what a broker makes of another's word on what discovery told it of a node: whether it counts, whether it is
 // passed on, and what newcomers are told again. It never carries an address: those are each broker's own. Nothing here does I/O,
 // reads a clock or starts a goroutine.
+//
+// Depends on decision/broker. Concurrency: nothing here locks or starts a goroutine; a value is used by one
+// goroutine at a time.
 package words
 
 import (
 	"encoding/binary"
 	"slices"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Word is what discovery told of one node.
--- a/decide/words/words_test.go
+++ b/internal/decision/words/words_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 func node(n uint16) broker.NodeID { return broker.NodeID{Port: n} }
--- a/discovery/call.go
+++ b/internal/discovery/call.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"time"
 
-	"flaxfront/httpwire"
+	"flaxfront/internal/transport/httpwire"
 )
 
 // A change of the list counts as told 6 s after discovery had it, whatever became of the calls in between; what a silent watch
--- a/discovery/client.go
+++ b/internal/discovery/client.go
@@ -2,6 +2,9 @@
 // It must never decide when to ask: the module does, through Ask, and learns of each failure. Only a call that has fallen silent, or
 // a watch that broke, is made good here at once, or a call that the service just moved to failed. A list that can't be read whole
 // changes nothing.
+//
+// Depends on decision/broker, decision/trust, transport/httpwire. Concurrency: Run owns a client and is
+// called once; Ask and Move may be called from any goroutine.
 package discovery
 
 import (
@@ -11,7 +14,7 @@
 	"sync"
 	"time"
 
-	"flaxfront/decide/trust"
+	"flaxfront/internal/decision/trust"
 )
 
 // Client asks discovery.
--- a/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -11,7 +11,7 @@
 	"testing/synctest"
 	"time"
 
-	"flaxfront/httpwire"
+	"flaxfront/internal/transport/httpwire"
 )
 
 // Every ask gets one answer or more; a failure ends the watch, and an unreadable or older list leads to a whole one.
--- a/discovery/errors_test.go
+++ b/internal/discovery/errors_test.go
@@ -10,7 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"flaxfront/remedy"
+	"flaxfront/internal/config/remedy"
 )
 
 // Whatever a service answers that is no list, nothing of it is taken, one line says what is wrong and another what an operator can do,
--- a/discovery/list.go
+++ b/internal/discovery/list.go
@@ -13,7 +13,7 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Node is one line of the list.
--- a/discovery/list_test.go
+++ b/internal/discovery/list_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/httpwire"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/transport/httpwire"
 )
 
 var start = time.UnixMilli(1_000_000)
--- a/discovery/move_test.go
+++ b/internal/discovery/move_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"flaxfront/httpwire"
+	"flaxfront/internal/transport/httpwire"
 )
 
 // What a new service has counts as told 4 s after the move: one that is silent, slow, or refuses at first is asked again soon
--- a/state/nodelist/asks.go
+++ b/internal/discovery/nodelist/asks.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"flaxfront/decide/trust"
+	"flaxfront/internal/decision/trust"
 )
 
 const (
--- a/state/nodelist/bench_test.go
+++ b/internal/discovery/nodelist/bench_test.go
@@ -7,7 +7,7 @@
 
 	"go.etcd.io/bbolt"
 
-	"flaxfront/decide/trust"
+	"flaxfront/internal/decision/trust"
 )
 
 // What it costs to keep one change of a list, in the three ways that the design note compares: the whole list in one file
--- a/state/nodelist/frame.go
+++ b/internal/discovery/nodelist/frame.go
@@ -16,7 +16,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"flaxfront/decide/trust"
+	"flaxfront/internal/decision/trust"
 )
 
 const (
--- a/state/nodelist/nodelist.go
+++ b/internal/discovery/nodelist/nodelist.go
@@ -8,6 +8,9 @@
 //	*.damaged, *.other-deployment, *.later-version   files set aside, the four newest
 //	lock                 held by the one process that writes
 //	asks/                what `flaxfront nodes` asks of a broker that runs
+//
+// Depends on decision/trust. Concurrency: it starts no goroutine; what several goroutines may use is behind
+// a lock or an atomic value.
 package nodelist
 
 import (
@@ -22,7 +25,7 @@
 	"slices"
 	"strings"
 
-	"flaxfront/decide/trust"
+	"flaxfront/internal/decision/trust"
 )
 
 const (
--- a/state/nodelist/nodelist_test.go
+++ b/internal/discovery/nodelist/nodelist_test.go
@@ -18,7 +18,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/trust"
+	"flaxfront/internal/decision/trust"
 )
 
 func TestMain(m *testing.M) {
--- a/state/nodelist/store.go
+++ b/internal/discovery/nodelist/store.go
@@ -15,7 +15,7 @@
 
 	"github.com/gofrs/flock"
 
-	"flaxfront/decide/trust"
+	"flaxfront/internal/decision/trust"
 )
 
 const (
--- a/discovery/paced_test.go
+++ b/internal/discovery/paced_test.go
@@ -9,8 +9,8 @@
 	"testing/synctest"
 	"time"
 
-	"flaxfront/decide/trust"
-	"flaxfront/httpwire"
+	"flaxfront/internal/decision/trust"
+	"flaxfront/internal/transport/httpwire"
 )
 
 // paced is a client that asks again by itself, before stand-ins that are dialled by turns.
--- a/discovery/race.go
+++ b/internal/discovery/race.go
@@ -10,7 +10,7 @@
 	"net"
 	"time"
 
-	"flaxfront/httpwire"
+	"flaxfront/internal/transport/httpwire"
 )
 
 // dialWithin bounds a connection that does not come up, so that another is tried while the news that it would bring still count.
--- a/discovery/race_test.go
+++ b/internal/discovery/race_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/httpwire"
+	"flaxfront/internal/transport/httpwire"
 )
 
 // ending is a connection on which the race ends in the very moment in which the answer is read.
--- /dev/null
+++ b/internal/discovery/return_test.go
@@ -0,0 +1,115 @@
+package discovery
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"flaxfront/internal/transport/httpwire"
+)
+
+// A watch falls silent as soon as it is open, and a node drains; from then on discovery answers each call, in 1.9 s, as it is busy.
+// What the watch missed is held 6 s after it fell silent at the latest, whatever was drawn.
+func TestSilentWatchOfABusyService(t *testing.T) {
+	for round := range 40 {
+		synctest.Test(t, func(t *testing.T) {
+			var calls atomic.Int32
+			c := NewClient("d", reader(), 10*time.Second, 40, true, nil)
+			if round == 0 {
+				c.lot = none
+			}
+			had := make(chan time.Duration, 100)
+			begun := time.Now()
+			c.tell = func(l *List, err error) {
+				if err == nil {
+					had <- time.Since(begun)
+				}
+			}
+			c.dial = func(context.Context, string, string) (net.Conn, error) {
+				watch := calls.Add(1) == 1
+				near, far := net.Pipe()
+				go func() {
+					defer far.Close()
+					in := httpwire.NewReader(far)
+					if _, err := httpwire.ReadRequest(in); err != nil {
+						return
+					}
+					if !watch {
+						time.Sleep(1900 * time.Millisecond)
+						far.Write(httpwire.AppendResponse(nil, 200, false, []byte(list(41, false, line("s-1", "10.0.0.1:80", "terminating", 0)))))
+					}
+					httpwire.ReadRequest(in) // until it is closed
+				}()
+				return near, nil
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			go c.Run(ctx)
+			c.Ask()
+			time.Sleep(30 * time.Second)
+			select {
+			case at := <-had:
+				if at > toldAfter {
+					t.Errorf("the drain was had %v after the watch fell silent, by %d calls", at, calls.Load())
+				}
+			default:
+				t.Error("the drain was never had")
+			}
+			cancel()
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// An agent that refuses calls, or takes no connection, while discovery is down is asked again soon, and its outage told once: what it
+// has at the return counts in that moment. A service that all brokers share is left to the module's pauses.
+func TestAgentIsHeardAtItsReturn(t *testing.T) {
+	for _, refuses := range []bool{true, false} {
+		for _, pushed := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				const down = 20 * time.Second
+				var calls, failures atomic.Int32
+				var had atomic.Int64
+				begun := time.Now()
+				c := NewClient("d", reader(), 10*time.Second, 40, true, func(l *List, err error) {
+					if err != nil {
+						failures.Add(1)
+					} else if had.Load() == 0 {
+						had.Store(int64(time.Since(begun)))
+					}
+				})
+				if pushed {
+					c.Pushed()
+				}
+				c.dial = func(context.Context, string, string) (net.Conn, error) {
+					calls.Add(1)
+					switch {
+					case time.Since(begun) >= down:
+						return answers(list(41, true)), nil
+					case refuses:
+						return answers("jammed"), nil
+					default:
+						return nil, io.ErrClosedPipe
+					}
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				go c.Run(ctx)
+				c.Ask()
+				time.Sleep(down + time.Second)
+				synctest.Wait()
+				late := time.Duration(had.Load()) - down
+				if pushed && (late < 0 || late > agentPause || failures.Load() != 1 || calls.Load() > int32(2*down/agentPause)) {
+					t.Errorf("refuses %v: had %v after the return, %d calls, %d failures told", refuses, late, calls.Load(), failures.Load())
+				}
+				if !pushed && calls.Load() > 1 {
+					t.Errorf("refuses %v: %d calls that nobody asked for", refuses, calls.Load())
+				}
+				cancel()
+				synctest.Wait()
+			})
+		}
+	}
+}
--- a/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -12,8 +12,8 @@
 	"testing/synctest"
 	"time"
 
-	"flaxfront/decide/trust"
-	"flaxfront/httpwire"
+	"flaxfront/internal/decision/trust"
+	"flaxfront/internal/transport/httpwire"
 )
 
 func none(time.Duration) time.Duration { return 0 }
@@ -89,8 +89,7 @@
 					s := newService()
 					var had time.Time
 					failures := 0
-					var c *Client
-					c = NewClient("d:1", reader(), 10*time.Second, 40, known, func(l *List, err error) {
+					c := NewClient("d:1", reader(), 10*time.Second, 40, known, func(l *List, err error) {
 						if err == nil && l.Version == 41 && had.IsZero() {
 							had = time.Now()
 						}
--- a/lab/archive/archive.go
+++ b/internal/lab/archive/archive.go
@@ -1,5 +1,8 @@
 // Package archive is a simulated catalogue: records by shard, what a store node would make of a part of a catalogue search, and a
 // broker over them for the tests of fronts, whose answers can be held back, cut short or spoilt. It owns no socket.
+//
+// Depends on config/terms, decision/broker, protocols/catalogue, server. Concurrency: it starts no
+// goroutine; what several goroutines may use is behind a lock or an atomic value.
 package archive
 
 import (
@@ -8,10 +11,10 @@
 	"sync"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/catalogue"
-	"flaxfront/server"
-	"flaxfront/terms"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/protocols/catalogue"
+	"flaxfront/internal/server"
 )
 
 // Broker answers searches out of its records.
--- a/lab/chaos/clients.go
+++ b/internal/lab/chaos/clients.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"flaxfront/lab"
+	"flaxfront/internal/lab"
 )
 
 // Clients put searches to a tier until they are told to end.
--- a/lab/chaos/mesh.go
+++ b/internal/lab/chaos/mesh.go
@@ -1,6 +1,9 @@
 // Package chaos puts faults between real processes of the program: a relay on loopback for each way from one broker to
 // another, and processes that are killed, stopped, continued and supervised. It owns the faults and the times at which they
 // were put in. It must never look into what it carries, take a broker's word for anything, or touch a process that it did not start.
+//
+// Depends on cluster/fleet, lab, transport/keys. Concurrency: goroutines of its own, which the caller's
+// context ends; what they share with callers is behind a lock or an atomic value.
 package chaos
 
 import (
@@ -8,7 +11,7 @@
 	"sync"
 	"time"
 
-	"flaxfront/lab"
+	"flaxfront/internal/lab"
 )
 
 // Mesh is the relays between some brokers: one for each ordered pair, so that every link can fail alone and in one direction.
--- a/lab/chaos/operate.go
+++ b/internal/lab/chaos/operate.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"flaxfront/fleet"
+	"flaxfront/internal/cluster/fleet"
 )
 
 // Command runs `flaxfront fleet ...` as an operator and returns what it prints.
--- a/lab/chaos/tier.go
+++ b/internal/lab/chaos/tier.go
@@ -16,8 +16,8 @@
 	"syscall"
 	"time"
 
-	"flaxfront/keys"
-	"flaxfront/lab"
+	"flaxfront/internal/lab"
+	"flaxfront/internal/transport/keys"
 )
 
 // Options describe a tier.
--- a/lab/crew/crew.go
+++ b/internal/lab/crew/crew.go
@@ -1,6 +1,9 @@
 // Package crew emulates a tier of brokers that keep one another's company, in virtual time: the real decisions on members and duties
 // over a simulated network that loses, delays, doubles and reorders datagrams, with brokers that are killed, paused, cut off, slow
 // to get their core, or whose clock jumps. It audits what came of the duties from outside. The same seed gives the same course.
+//
+// Depends on decision/duties, decision/members, lab/queue. Concurrency: it spreads work over goroutines
+// that end with each call; a value is used by one goroutine at a time.
 package crew
 
 import (
@@ -9,9 +12,9 @@
 	"net/netip"
 	"time"
 
-	"flaxfront/decide/duties"
-	"flaxfront/decide/members"
-	"flaxfront/lab/queue"
+	"flaxfront/internal/decision/duties"
+	"flaxfront/internal/decision/members"
+	"flaxfront/internal/lab/queue"
 )
 
 // Options describe a tier.
--- a/lab/crew/table.go
+++ b/internal/lab/crew/table.go
@@ -11,8 +11,8 @@
 	"text/tabwriter"
 	"time"
 
-	"flaxfront/decide/duties"
-	"flaxfront/decide/members"
+	"flaxfront/internal/decision/duties"
+	"flaxfront/internal/decision/members"
 )
 
 // way is one way to know who is there.
--- a/lab/emu.go
+++ b/internal/lab/emu.go
@@ -10,10 +10,10 @@
 	"net/netip"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/trust"
-	"flaxfront/discovery"
-	"flaxfront/logic"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/logic"
+	"flaxfront/internal/decision/trust"
+	"flaxfront/internal/discovery"
 )
 
 // moment is something that will happen.
--- a/lab/herd.go
+++ b/internal/lab/herd.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 	"time"
 
-	"flaxfront/decide/trust"
+	"flaxfront/internal/decision/trust"
 )
 
 // herd is one return of discovery under one way of asking.
--- a/lab/hunt/hunt.go
+++ b/internal/lab/hunt/hunt.go
@@ -1,6 +1,9 @@
 // Package hunt searches for the day on which a rule breaks or most is lost against a policy that sees all, and cuts the day down
 // to what matters. It owns the drawing, the search and the shrinking of scripts; the same seed hunts the same way. It must never
 // change a fleet, only what goes wrong with it and how much is asked.
+//
+// Depends on lab/play, lab/script. Concurrency: it spreads work over goroutines that end with each call; a
+// value is used by one goroutine at a time.
 package hunt
 
 import (
@@ -11,8 +14,8 @@
 	"sync"
 	"time"
 
-	"flaxfront/lab/play"
-	"flaxfront/lab/script"
+	"flaxfront/internal/lab/play"
+	"flaxfront/internal/lab/script"
 )
 
 // Find is a day with what it costs.
--- a/lab/hunt/hunt_test.go
+++ b/internal/lab/hunt/hunt_test.go
@@ -6,8 +6,8 @@
 	"os"
 	"testing"
 
-	"flaxfront/lab/play"
-	"flaxfront/lab/script"
+	"flaxfront/internal/lab/play"
+	"flaxfront/internal/lab/script"
 )
 
 func TestMain(m *testing.M) {
--- a/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -1,5 +1,8 @@
 // Package judge says what played rehearsals show: how two builds or policies differ, seed by seed. It owns the statistics and the sentences, and reads results only. It must never
 // call a difference one that the seeds do not bear out.
+//
+// Depends on lab/play. Concurrency: nothing here locks or starts a goroutine; a value is used by one
+// goroutine at a time.
 package judge
 
 import (
@@ -10,7 +13,7 @@
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"flaxfront/lab/play"
+	"flaxfront/internal/lab/play"
 )
 
 // Figure is one thing that is compared; more is better where Up says so.
--- a/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"flaxfront/lab/play"
+	"flaxfront/internal/lab/play"
 )
 
 func results(name string, got ...int64) (all []*play.Result) {
--- a/lab/play/audit.go
+++ b/internal/lab/play/audit.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/discovery"
-	"flaxfront/lab/script"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/lab/script"
 )
 
 // What discovery and the auditor are told.
--- a/lab/play/bench_test.go
+++ b/internal/lab/play/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/lab/script"
+	"flaxfront/internal/lab/script"
 )
 
 // fleet is a script of so many nodes and brokers in ordinary times, at a load that keeps two in five cores busy.
--- a/lab/play/clients.go
+++ b/internal/lab/play/clients.go
@@ -7,8 +7,8 @@
 	"math"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/server"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/server"
 )
 
 const (
--- a/lab/play/conns.go
+++ b/internal/lab/play/conns.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"flaxfront/store"
+	"flaxfront/internal/transport/store"
 )
 
 // conn is a connection as the broker sees it.
--- a/lab/play/cores.go
+++ b/internal/lab/play/cores.go
@@ -5,8 +5,8 @@
 import (
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/store"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/transport/store"
 )
 
 func (n *node) take(j *job) {
--- a/lab/play/engine.go
+++ b/internal/lab/play/engine.go
@@ -2,6 +2,10 @@
 // nodes, clients, a simulated discovery and network. The same script gives the same course to the last event, however many cores
 // play it. It owns what happens outside the brokers and audits the six rules from there, never from a broker's own books. It must
 // never read a clock or let the order of a map matter.
+//
+// Depends on cluster/hint, config/operator, config/terms, decision/broker, decision/logic, decision/pins,
+// decision/trust, discovery, lab/queue, lab/script, server, transport/store. Concurrency: goroutines of its
+// own, which the caller's context ends; what they share with callers is behind a lock or an atomic value.
 package play
 
 import (
@@ -11,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"flaxfront/lab/queue"
+	"flaxfront/internal/lab/queue"
 )
 
 // event is what one actor is told, by another or by itself.
--- a/lab/play/front.go
+++ b/internal/lab/play/front.go
@@ -7,11 +7,11 @@
 	"syscall"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/trust"
-	"flaxfront/hint"
-	"flaxfront/server"
-	"flaxfront/store"
+	"flaxfront/internal/cluster/hint"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/trust"
+	"flaxfront/internal/server"
+	"flaxfront/internal/transport/store"
 )
 
 // What brokers and their clients are told.
--- a/lab/play/node.go
+++ b/internal/lab/play/node.go
@@ -7,9 +7,9 @@
 	"fmt"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/lab/queue"
-	"flaxfront/lab/script"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/lab/queue"
+	"flaxfront/internal/lab/script"
 )
 
 type itemOf = queue.Item[event]
--- a/lab/play/offer.go
+++ b/internal/lab/play/offer.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"flaxfront/store"
+	"flaxfront/internal/transport/store"
 )
 
 // frame reads what a broker wrote, and takes the parts.
--- a/lab/play/plain.go
+++ b/internal/lab/play/plain.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // foresee tells when a node would have answered a part that it is sent now; false: it would not.
@@ -33,7 +33,7 @@
 	typ            *broker.SearchType
 	deadline, last time.Duration
 	parts          []piece
-	sent, over     bool
+	over           bool
 	got            float64
 }
 
--- a/lab/play/play_test.go
+++ b/internal/lab/play/play_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/lab/script"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/lab/script"
 )
 
 func TestMain(m *testing.M) {
--- a/lab/play/reads.go
+++ b/internal/lab/play/reads.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
-	"flaxfront/decide/pins"
-	"flaxfront/hint"
-	"flaxfront/server"
+	"flaxfront/internal/cluster/hint"
+	"flaxfront/internal/decision/pins"
+	"flaxfront/internal/server"
 )
 
 // What brokers tell each other beside messages of the module, and clients that move.
--- a/lab/play/reads_test.go
+++ b/internal/lab/play/reads_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"flaxfront/lab/script"
-	"flaxfront/operator"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/lab/script"
 )
 
 var readSeeds = flag.Int("reads.seeds", 1, "how many days of lagging replicas are played; a million checked reads take about 40")
--- a/lab/play/replica.go
+++ b/internal/lab/play/replica.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"flaxfront/decide/pins"
-	"flaxfront/lab/script"
+	"flaxfront/internal/decision/pins"
+	"flaxfront/internal/lab/script"
 )
 
 // replica is the state of a node: all that was acknowledged by a moment.
--- a/lab/play/tally.go
+++ b/internal/lab/play/tally.go
@@ -142,7 +142,6 @@
 	broken   int64
 	lines    []Line
 	said     int64
-	searches int64
 	distrust [][]uint16
 	reads    ReadCounts
 }
--- a/lab/play/told.go
+++ b/internal/lab/play/told.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/discovery"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/discovery"
 )
 
 // listed hands on what discovery told.
--- a/lab/play/trouble.go
+++ b/internal/lab/play/trouble.go
@@ -3,8 +3,8 @@
 // This file owns all that a script does to a node.
 
 import (
-	"flaxfront/discovery"
-	"flaxfront/lab/script"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/lab/script"
 )
 
 // trouble is what the script does to the node.
--- a/lab/play/world.go
+++ b/internal/lab/play/world.go
@@ -10,12 +10,12 @@
 	"sync/atomic"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/discovery"
-	"flaxfront/lab/script"
-	"flaxfront/logic"
-	"flaxfront/operator"
-	"flaxfront/terms"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/logic"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/lab/script"
 )
 
 // Options say how a script is played.
--- a/proof/back_test.go
+++ b/internal/lab/proof/back_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/fleet"
-	"flaxfront/lab/chaos"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/lab/chaos"
 )
 
 // calm waits until nobody is out or about to go, in the ledger and seen from outside, and tells how many steps there were.
--- a/proof/budgets_test.go
+++ b/internal/lab/proof/budgets_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"flaxfront/fleet"
-	"flaxfront/lab"
-	"flaxfront/lab/chaos"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/lab"
+	"flaxfront/internal/lab/chaos"
 )
 
 const budgetOfNode = 7
--- a/proof/disk_test.go
+++ b/internal/lab/proof/disk_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/fleet"
-	"flaxfront/lab/chaos"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/lab/chaos"
 )
 
 // directory is where a voter keeps its log.
--- a/proof/drain_test.go
+++ b/internal/lab/proof/drain_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/fleet"
-	"flaxfront/lab"
-	"flaxfront/lab/chaos"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/lab"
+	"flaxfront/internal/lab/chaos"
 )
 
 // listed waits until the tier has agreed on the list of nodes.
--- a/proof/frozen_test.go
+++ b/internal/lab/proof/frozen_test.go
@@ -4,9 +4,9 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/fleet"
-	"flaxfront/lab/chaos"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/lab/chaos"
 )
 
 // holds cuts what a broker says off and has a release permit it to go, so that it holds a permit that it cannot use. It tells
--- a/proof/history_test.go
+++ b/internal/lab/proof/history_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/fleet"
-	"flaxfront/lab/chaos"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/lab/chaos"
 )
 
 // An operation of the history: a node is drained or undrained, or what is known of it is read.
--- a/proof/hunt_test.go
+++ b/internal/lab/proof/hunt_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/fleet"
-	"flaxfront/lab/chaos"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/lab/chaos"
 )
 
 // trouble puts a fault of chance into the tier, for a while shorter than what the audit gives a crash to be known.
--- a/proof/main_test.go
+++ b/internal/lab/proof/main_test.go
@@ -11,9 +11,9 @@
 
 	"go.uber.org/goleak"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/fleet"
-	"flaxfront/lab/chaos"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/lab/chaos"
 )
 
 var (
--- a/proof/majority_test.go
+++ b/internal/lab/proof/majority_test.go
@@ -5,10 +5,10 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/fleet"
-	"flaxfront/lab"
-	"flaxfront/lab/chaos"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/lab"
+	"flaxfront/internal/lab/chaos"
 )
 
 const (
--- a/proof/pins_test.go
+++ b/internal/lab/proof/pins_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"flaxfront/lab"
-	"flaxfront/lab/chaos"
+	"flaxfront/internal/lab"
+	"flaxfront/internal/lab/chaos"
 )
 
 const shards = 8
--- a/proof/release_test.go
+++ b/internal/lab/proof/release_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/fleet"
-	"flaxfront/lab"
-	"flaxfront/lab/chaos"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/lab"
+	"flaxfront/internal/lab/chaos"
 )
 
 // install has whatever goes out as planned come back with the version that is installed by then.
--- a/proof/restart_test.go
+++ b/internal/lab/proof/restart_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/lab/chaos"
+	"flaxfront/internal/lab/chaos"
 )
 
 // A broker that starts while a node is drained by agreement knows nothing of it at first; it takes no searches before it does, so
--- a/proof/word_test.go
+++ b/internal/lab/proof/word_test.go
@@ -4,9 +4,9 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/fleet"
-	"flaxfront/lab/chaos"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/lab/chaos"
 )
 
 // A holder hears only long after it stopped waiting that its word was taken: it goes by that word once. It must never count as gone
--- a/lab/queue/queue.go
+++ b/internal/lab/queue/queue.go
@@ -4,6 +4,9 @@
 //
 // It is a calendar queue (Brown, 1988) with buckets of one width: most of what is pushed lies within a fraction of a second and
 // goes to its bucket unsorted; a bucket is sorted when its time comes. What lies further ahead waits in a heap.
+//
+// Depends on no package of this module. Concurrency: nothing here locks or starts a goroutine; a value is
+// used by one goroutine at a time.
 package queue
 
 import (
--- a/lab/queues.go
+++ b/internal/lab/queues.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 	"time"
 
-	"flaxfront/decide/admission"
+	"flaxfront/internal/decision/admission"
 )
 
 const (
--- a/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -1,6 +1,9 @@
 // Package report turns results into one HTML page that needs nothing else: tables, plots over time, what each node did beside
 // what brokers thought of it, broken rules and the module's words. It owns the page and the plots. It must never count anew what
 // a result says.
+//
+// Depends on lab/judge, lab/play. Concurrency: nothing here locks or starts a goroutine; a value is used by
+// one goroutine at a time.
 package report
 
 import (
@@ -19,8 +22,8 @@
 	"gonum.org/v1/plot/vg/vgimg"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"flaxfront/lab/judge"
-	"flaxfront/lab/play"
+	"flaxfront/internal/lab/judge"
+	"flaxfront/internal/lab/play"
 )
 
 // Page is what a page shows.
--- a/lab/script/script.go
+++ b/internal/lab/script/script.go
@@ -1,6 +1,9 @@
 // Package script reads rehearsals: what fleet there is, who asks how much, and what goes wrong when. It owns the form, its
 // ranges and the contradictions a script may hold, and turns a script into terms for brokers and into a schedule of faults that
 // depends on nothing but the script and its seed. It must never play one.
+//
+// Depends on config/form, config/operator, config/terms, decision/broker. Concurrency: nothing here locks
+// or starts a goroutine; a value is used by one goroutine at a time.
 package script
 
 import (
@@ -11,7 +14,7 @@
 	"slices"
 	"time"
 
-	"flaxfront/form"
+	"flaxfront/internal/config/form"
 )
 
 // Script is one rehearsal.
--- a/lab/script/settings.go
+++ b/internal/lab/script/settings.go
@@ -6,9 +6,9 @@
 	"encoding/json"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/operator"
-	"flaxfront/terms"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
 )
 
 // Terms are the settings that the script's brokers are given.
--- a/lab/sharing.go
+++ b/internal/lab/sharing.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"flaxfront/decide/admission"
+	"flaxfront/internal/decision/admission"
 )
 
 // sharing is one way: it rules on arrivals, and tells who may enter when something ends.
--- a/lab/stage.go
+++ b/internal/lab/stage.go
@@ -18,7 +18,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"flaxfront/lab/script"
+	"flaxfront/internal/lab/script"
 )
 
 // Stage is the nodes, the discovery and the clients of a script on sockets.
--- a/lab/starts.go
+++ b/internal/lab/starts.go
@@ -10,8 +10,8 @@
 	"text/tabwriter"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/trust"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/trust"
 )
 
 // Policy is what brokers do with the list that they start with.
--- a/back/back.go
+++ b/internal/protocols/back/back.go
@@ -2,6 +2,10 @@
 // goes on deciding which connection a call takes, and the module which node; here a call's parts become searches of the node's
 // protocol, and what comes back becomes the answers that frames would have brought. It owns the node's protocol and its time limits.
 // It must never choose a node, send a part twice, or make an answer of what it could not read whole.
+//
+// Depends on protocols/catalogue, protocols/sru, protocols/z3950, transport/httpwire, transport/store.
+// Concurrency: goroutines of its own, which the caller's context ends; what they share with callers is
+// behind a lock or an atomic value.
 package back
 
 import (
@@ -21,11 +25,11 @@
 	"sync"
 	"time"
 
-	"flaxfront/catalogue"
-	"flaxfront/httpwire"
-	"flaxfront/sru"
-	"flaxfront/store"
-	"flaxfront/z3950"
+	"flaxfront/internal/protocols/catalogue"
+	"flaxfront/internal/protocols/sru"
+	"flaxfront/internal/protocols/z3950"
+	"flaxfront/internal/transport/httpwire"
+	"flaxfront/internal/transport/store"
 )
 
 // Options say what the nodes are.
--- a/back/back_test.go
+++ b/internal/protocols/back/back_test.go
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/catalogue"
-	"flaxfront/query"
-	"flaxfront/store"
-	"flaxfront/z3950"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/protocols/catalogue"
+	"flaxfront/internal/protocols/query"
+	"flaxfront/internal/protocols/z3950"
+	"flaxfront/internal/transport/store"
 )
 
 // scripted is a simulated node that answers each message as a test says; nil ends the connection.
--- a/ber/ber.go
+++ b/internal/protocols/ber/ber.go
@@ -1,6 +1,9 @@
 // Package ber reads and writes the Basic Encoding Rules (ITU-T X.690) as far as Z39.50 needs them: tags of any class, definite and
 // indefinite lengths, integers, object identifiers, bit and octet strings. It owns the form alone. It must never read beyond what a
 // length claims, follow nesting without end, or give room for bytes that have not come.
+//
+// Depends on no package of this module. Concurrency: nothing here locks or starts a goroutine; a value is
+// used by one goroutine at a time.
 package ber
 
 import (
--- a/catalogue/catalogue.go
+++ b/internal/protocols/catalogue/catalogue.go
@@ -1,5 +1,8 @@
 // Package catalogue is the form in which catalogue searches travel inside a search's statement, and their answers inside the values
 // that nodes make of its parts. It owns that form and the merging of parts into one answer. It must never search or keep anything.
+//
+// Depends on decision/sets, protocols/query. Concurrency: it keeps no state and starts no goroutine, so
+// that its functions may be called from any goroutine; what they return is the caller's.
 package catalogue
 
 import (
@@ -9,8 +12,8 @@
 	"strconv"
 	"strings"
 
-	"flaxfront/decide/sets"
-	"flaxfront/query"
+	"flaxfront/internal/decision/sets"
+	"flaxfront/internal/protocols/query"
 )
 
 // mark opens a statement. A later form would have another.
--- a/front/front.go
+++ b/internal/protocols/front/front.go
@@ -1,5 +1,8 @@
 // Package front is what the fronts for catalogue clients share: how a catalogue search is put to a broker, and what came of it is
 // counted. It must never hold a connection or anything of a protocol.
+//
+// Depends on config/terms, decision/broker, decision/sets, protocols/catalogue, server. Concurrency: it
+// starts no goroutine; what several goroutines may use is behind a lock or an atomic value.
 package front
 
 import (
@@ -11,11 +14,11 @@
 	"sync/atomic"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/catalogue"
-	"flaxfront/decide/sets"
-	"flaxfront/server"
-	"flaxfront/terms"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/sets"
+	"flaxfront/internal/protocols/catalogue"
+	"flaxfront/internal/server"
 )
 
 // Broker is what a front needs of one.
--- a/front/sru/front.go
+++ b/internal/protocols/front/sru/front.go
@@ -1,6 +1,9 @@
 // Package sru is the front for clients that speak SRU 1.1, 1.2 and 2.0: explain and searchRetrieve. Page one is always a fresh search;
 // further pages come from the answer of the same client's page one, as long as it is kept. It owns the listener and what is kept.
 // It must never give a page of another answer under the same result set, or call a partial answer whole.
+//
+// Depends on config/operator, decision/sets, protocols/catalogue, protocols/front, protocols/sru, server.
+// Concurrency: it starts no goroutine; what several goroutines may use is behind a lock or an atomic value.
 package sru
 
 import (
@@ -19,12 +22,12 @@
 	"sync"
 	"time"
 
-	"flaxfront/catalogue"
-	"flaxfront/decide/sets"
-	"flaxfront/front"
-	"flaxfront/operator"
-	"flaxfront/server"
-	"flaxfront/sru"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/decision/sets"
+	"flaxfront/internal/protocols/catalogue"
+	"flaxfront/internal/protocols/front"
+	"flaxfront/internal/protocols/sru"
+	"flaxfront/internal/server"
 )
 
 const (
--- a/front/sru/front_test.go
+++ b/internal/protocols/front/sru/front_test.go
@@ -14,10 +14,10 @@
 	"testing"
 	"time"
 
-	"flaxfront/front"
-	"flaxfront/lab/archive"
-	"flaxfront/operator"
-	"flaxfront/server"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/lab/archive"
+	"flaxfront/internal/protocols/front"
+	"flaxfront/internal/server"
 )
 
 type answer struct {
--- a/front/z3950/broker_test.go
+++ b/internal/protocols/front/z3950/broker_test.go
@@ -11,17 +11,17 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
-	sruFront "flaxfront/front/sru"
-	front "flaxfront/front/z3950"
-	"flaxfront/lab"
-	"flaxfront/lab/archive"
-	"flaxfront/logic"
-	"flaxfront/operator"
-	"flaxfront/query"
-	"flaxfront/server"
-	"flaxfront/terms"
-	"flaxfront/z3950"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/logic"
+	"flaxfront/internal/lab"
+	"flaxfront/internal/lab/archive"
+	sruFront "flaxfront/internal/protocols/front/sru"
+	front "flaxfront/internal/protocols/front/z3950"
+	"flaxfront/internal/protocols/query"
+	"flaxfront/internal/protocols/z3950"
+	"flaxfront/internal/server"
 )
 
 // Both fronts before a real broker before simulated store nodes that make catalogue values: one search in each gives the same
--- a/front/z3950/front.go
+++ b/internal/protocols/front/z3950/front.go
@@ -2,6 +2,10 @@
 // the broker's loop like any other and has one answer; what a client presents from is kept here, within bounds. It owns the
 // listener, the sessions and their time limits. It must never present a page of another answer than the search's, call a partial
 // answer whole, or hold more of a session than stated.
+//
+// Depends on config/operator, decision/sets, protocols/catalogue, protocols/front, protocols/query,
+// protocols/z3950, server. Concurrency: goroutines of its own, which the caller's context ends; what they
+// share with callers is behind a lock or an atomic value.
 package z3950
 
 import (
@@ -19,13 +23,13 @@
 	"sync"
 	"time"
 
-	"flaxfront/catalogue"
-	"flaxfront/decide/sets"
-	"flaxfront/front"
-	"flaxfront/operator"
-	"flaxfront/query"
-	"flaxfront/server"
-	"flaxfront/z3950"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/decision/sets"
+	"flaxfront/internal/protocols/catalogue"
+	"flaxfront/internal/protocols/front"
+	"flaxfront/internal/protocols/query"
+	"flaxfront/internal/protocols/z3950"
+	"flaxfront/internal/server"
 )
 
 const (
--- a/front/z3950/front_test.go
+++ b/internal/protocols/front/z3950/front_test.go
@@ -13,12 +13,12 @@
 	"testing"
 	"time"
 
-	"flaxfront/front"
-	"flaxfront/lab/archive"
-	"flaxfront/operator"
-	"flaxfront/query"
-	"flaxfront/server"
-	"flaxfront/z3950"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/lab/archive"
+	"flaxfront/internal/protocols/front"
+	"flaxfront/internal/protocols/query"
+	"flaxfront/internal/protocols/z3950"
+	"flaxfront/internal/server"
 )
 
 func TestMain(m *testing.M) {
--- a/query/query.go
+++ b/internal/protocols/query/query.go
@@ -4,6 +4,9 @@
 //
 // CQL is version 1.2 as the Library of Congress publishes it with SRU 1.2 (and 2.0 as OASIS searchRetrieve part 5 does); Type-1 is
 // ANSI/NISO Z39.50-2003, appendix OID 3 and the attribute set Bib-1.
+//
+// Depends on no package of this module. Concurrency: it keeps no state and starts no goroutine, so that its
+// functions may be called from any goroutine; what they return is the caller's.
 package query
 
 import (
@@ -89,7 +92,6 @@
 	noSet        = Fault{50, 128, "", -1} // result sets not supported; illegal result set name
 	badAttribute = Fault{10, 113, "", -1} // unsupported attribute type
 	badSet       = Fault{10, 121, "", -1} // unsupported attribute set
-	badTermType  = Fault{10, 229, "", -1} // term type not supported
 )
 
 func (f Fault) with(at int, format string, args ...any) *Fault {
--- a/simwire/host.go
+++ b/internal/protocols/simwire/host.go
@@ -1,4 +1,7 @@
 // Package simwire speaks the simulator's binary wire and hosts many brokers that share nothing.
+//
+// Depends on config/terms, decision/broker. Concurrency: nothing here locks or starts a goroutine; a value
+// is used by one goroutine at a time.
 package simwire
 
 import (
@@ -11,8 +14,8 @@
 	"math"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/terms"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
 )
 
 // Layout of frames and records.
@@ -165,11 +168,11 @@
 func (h *Host) manifest(r, tail []byte) error {
 	sheet := r[1]
 	if int(sheet) >= len(h.sheets) {
-		return fmt.Errorf("Manifest: sheet %d out of range", sheet)
+		return fmt.Errorf("message Manifest: sheet %d out of range", sheet)
 	}
 	entries, err := slice(tail, r[2:], entrySize)
 	if err != nil {
-		return fmt.Errorf("Manifest: %w", err)
+		return fmt.Errorf("message Manifest: %w", err)
 	}
 	h.sheets[sheet], h.held[sheet] = append(h.sheets[sheet][:0], entries...), true
 	return nil
@@ -193,10 +196,10 @@
 		case listFull, listCached:
 			e.Kind = broker.ListFull
 		default:
-			return fmt.Errorf("Endpoints: unknown mode %d", r[10])
+			return fmt.Errorf("message Endpoints: unknown mode %d", r[10])
 		}
 		if int(r[9]) >= len(h.sheets) || !h.held[r[9]] {
-			return fmt.Errorf("Endpoints: sheet %d was never given", r[9])
+			return fmt.Errorf("message Endpoints: sheet %d was never given", r[9])
 		}
 		var err error
 		if e.Entries, err = decodeEntries(h.sheets[r[9]], b.start); err != nil {
@@ -219,7 +222,7 @@
 		e.Took, e.Node = span(be.Uint64(r[12:])), node(r[22:])
 		status := be.Uint16(r[20:])
 		if status > uint16(broker.NeverSent) {
-			return fmt.Errorf("Resolved: unknown outcome %d", status)
+			return fmt.Errorf("message Resolved: unknown outcome %d", status)
 		}
 		e.Outcome = broker.Outcome(status)
 	case evHangup:
@@ -229,7 +232,7 @@
 	case evDatagram:
 		text, err := slice(tail, r[5:], 1)
 		if err != nil {
-			return fmt.Errorf("Datagram: %w", err)
+			return fmt.Errorf("message Datagram: %w", err)
 		}
 		e.Kind, e.From, e.Text = broker.PeerSaid, be.Uint32(r[1:]), bytes.Clone(text)
 	case evProbeDone:
@@ -263,7 +266,7 @@
 		case 2:
 			e.State = broker.Ready
 		default:
-			return nil, fmt.Errorf("Endpoints: entry %d: unknown mode %d", len(out), raw[11])
+			return nil, fmt.Errorf("message Endpoints: entry %d: unknown mode %d", len(out), raw[11])
 		}
 		if boot := be.Uint64(raw[16:]); boot != 0 {
 			e.Boot = time.Duration(boot - start) // wraps to a negative span for an earlier boot
--- a/simwire/simwire_test.go
+++ b/internal/protocols/simwire/simwire_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/terms"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
 )
 
 const setup = "classes.count=1\nclasses.0.aimNs=1000000000\nclasses.0.deadlineNs=2000000000\n" +
--- a/sru/sru.go
+++ b/internal/protocols/sru/sru.go
@@ -1,6 +1,9 @@
 // Package sru reads requests and writes responses of SRU: versions 1.1 and 1.2 as the Library of Congress publishes them, and 2.0 as
 // OASIS searchRetrieve part 3 does. It owns their form. It must never search, or let a request through that its version does not
 // know.
+//
+// Depends on protocols/query. Concurrency: it keeps no state and starts no goroutine, so that its functions
+// may be called from any goroutine; what they return is the caller's.
 package sru
 
 import (
@@ -14,7 +17,7 @@
 	"strconv"
 	"strings"
 
-	"flaxfront/query"
+	"flaxfront/internal/protocols/query"
 )
 
 // Version of the protocol.
--- a/z3950/parts.go
+++ b/internal/protocols/z3950/parts.go
@@ -6,8 +6,8 @@
 	"errors"
 	"fmt"
 
-	"flaxfront/ber"
-	"flaxfront/query"
+	"flaxfront/internal/protocols/ber"
+	"flaxfront/internal/protocols/query"
 )
 
 // readQuery reads a query: [1] is Type-1, as [101] (Type-101) it has the same form; others are not supported.
--- a/z3950/pdu.go
+++ b/internal/protocols/z3950/pdu.go
@@ -1,6 +1,9 @@
 // Package z3950 reads and writes the messages of Z39.50 version 3 (ANSI/NISO Z39.50-2003, appendix A) that a catalogue's front
 // and back need: init, search, present, delete, close. It owns their form. It must never open a connection, keep a session, or read
 // a message beyond its bounds.
+//
+// Depends on protocols/ber, protocols/query. Concurrency: it keeps no state and starts no goroutine, so
+// that its functions may be called from any goroutine; what they return is the caller's.
 package z3950
 
 import (
@@ -10,8 +13,8 @@
 	"io"
 	"unicode/utf8"
 
-	"flaxfront/ber"
-	"flaxfront/query"
+	"flaxfront/internal/protocols/ber"
+	"flaxfront/internal/protocols/query"
 )
 
 // Object identifiers of record syntaxes and diagnostics.
--- a/z3950/pdu_test.go
+++ b/internal/protocols/z3950/pdu_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"testing/iotest"
 
-	"flaxfront/query"
+	"flaxfront/internal/protocols/query"
 )
 
 func rpn(t testing.TB, text string) *query.RPN {
--- a/server/ask.go
+++ b/internal/server/ask.go
@@ -16,8 +16,8 @@
 	"time"
 	"unicode/utf8"
 
-	"flaxfront/httpwire"
-	"flaxfront/terms"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/transport/httpwire"
 )
 
 const (
--- a/server/budgetlead.go
+++ b/internal/server/budgetlead.go
@@ -12,12 +12,12 @@
 	"strconv"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
-	"flaxfront/decide/units"
-	"flaxfront/discovery"
-	"flaxfront/fleet"
-	"flaxfront/policy"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/cluster/policy"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/decision/units"
+	"flaxfront/internal/discovery"
 )
 
 const grantEvery = 500 * time.Millisecond
--- a/server/budgets.go
+++ b/internal/server/budgets.go
@@ -8,12 +8,12 @@
 	"sync/atomic"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
-	"flaxfront/decide/units"
-	"flaxfront/fleet"
-	"flaxfront/policy"
-	"flaxfront/store"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/cluster/policy"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/decision/units"
+	"flaxfront/internal/transport/store"
 )
 
 const (
--- a/server/budgets_test.go
+++ b/internal/server/budgets_test.go
@@ -4,11 +4,11 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
-	"flaxfront/decide/units"
-	"flaxfront/fleet"
-	"flaxfront/store"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/decision/units"
+	"flaxfront/internal/transport/store"
 )
 
 // budgetTrial is a loop whose clock the test turns.
--- a/server/budgetstop.go
+++ b/internal/server/budgetstop.go
@@ -9,8 +9,8 @@
 	"log/slog"
 	"time"
 
-	"flaxfront/decide/ledger"
-	"flaxfront/decide/units"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/decision/units"
 )
 
 // yielded asks the loop to close all connections to nodes, for good. All searches are over by then.
--- a/server/budgettick.go
+++ b/internal/server/budgettick.go
@@ -6,10 +6,10 @@
 import (
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
-	"flaxfront/decide/units"
-	"flaxfront/policy"
+	"flaxfront/internal/cluster/policy"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/decision/units"
 )
 
 // budgetTick closes, acknowledges and measures; it returns when to come again. Danger: a process that was stopped over its lease
--- a/server/clients.go
+++ b/internal/server/clients.go
@@ -5,17 +5,13 @@
 
 import (
 	"bufio"
-	"context"
-	"errors"
-	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"flaxfront/httpwire"
-	"flaxfront/lookahead"
+	"flaxfront/internal/transport/httpwire"
+	"flaxfront/internal/transport/lookahead"
 )
 
 // client is one client connection.
@@ -74,29 +70,6 @@
 	accepted, closed, refused, unwritten atomic.Uint64
 }
 
-// lines bounds the log lines on connections that brought nothing of use. Danger: whoever opens thousands a second
-// would fill the log and take the core with it. What is left out is counted and said with the next line.
-type lines struct {
-	second int64
-	n      int
-	left   int
-}
-
-const linesASecond = 20
-
-// one tells whether another line may be written now, and how many were left out before it. The caller holds mu.
-func (l *lines) one(now time.Time) (ok bool, left int) {
-	if s := now.Unix(); s != l.second {
-		l.second, l.n = s, 0
-	}
-	if l.n++; l.n > linesASecond {
-		l.left++
-		return false, 0
-	}
-	left, l.left = l.left, 0
-	return true, left
-}
-
 // admit counts a connection in, or tells that there is no room.
 func (cs *clients) admit(c *client) bool {
 	cs.mu.Lock()
@@ -215,55 +188,3 @@
 		}
 	}
 }
-
-// accept takes connections until the listener is closed.
-func (s *Server) accept(ctx context.Context) error {
-	defer close(s.accepted)
-	var queue queueEnd
-	for {
-		conn, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) && queue.empty() {
-			return nil
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			s.acceptQueued()
-			continue
-		}
-		queue.taken()
-		if err != nil { // such as no descriptor left: an idle one goes, and the kernel keeps the others waiting
-			slog.Warn("accept failed", "error", err)
-			s.clients.mu.Lock()
-			s.clients.spare()
-			s.clients.mu.Unlock()
-			if !s.waitForRoom(ctx) {
-				return nil
-			}
-			continue
-		}
-		c := newClient(conn, s.loop.since)
-		for !s.clients.admit(c) {
-			if !s.waitForRoom(ctx) {
-				conn.Close()
-				return nil
-			}
-		}
-		s.clients.accepted.Add(1)
-		s.serving.Add(1)
-		s.group.Go(func() error {
-			defer s.serving.Done()
-			s.serve(ctx, c)
-			return nil
-		})
-	}
-}
-
-// waitForRoom waits until a connection ends or falls idle, or for a short time.
-func (s *Server) waitForRoom(ctx context.Context) bool {
-	select {
-	case <-s.clients.room:
-	case <-time.After(s.Terms().Dial):
-	case <-ctx.Done():
-		return false
-	}
-	return true
-}
--- a/server/cold_test.go
+++ b/internal/server/cold_test.go
@@ -4,9 +4,9 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/discovery"
-	"flaxfront/store"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/transport/store"
 )
 
 // Parts count as sent to a cold node while it warms up, and not at nodes that started long ago or are not known.
--- a/server/connection_orders_test.go
+++ b/internal/server/connection_orders_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/httpwire"
+	"flaxfront/internal/transport/httpwire"
 )
 
 // step is one thing that comes to a connection.
--- a/server/connections_test.go
+++ b/internal/server/connections_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/httpwire"
+	"flaxfront/internal/transport/httpwire"
 )
 
 // Clients that hold a connection for each request they ever made leave room for the next: those that idled longest are
--- a/server/core.go
+++ b/internal/server/core.go
@@ -8,13 +8,13 @@
 	"context"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/trust"
-	"flaxfront/discovery"
-	"flaxfront/hint"
-	"flaxfront/operator"
-	"flaxfront/store"
-	"flaxfront/terms"
+	"flaxfront/internal/cluster/hint"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/trust"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/transport/store"
 )
 
 // Around is what a core needs of the world round it.
--- a/server/crew.go
+++ b/internal/server/crew.go
@@ -13,16 +13,16 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/duties"
-	"flaxfront/decide/members"
-	"flaxfront/decide/trust"
-	"flaxfront/decide/words"
-	"flaxfront/discovery"
-	"flaxfront/operator"
-	"flaxfront/peers"
-	kept "flaxfront/state/seeds"
-	"flaxfront/terms"
+	kept "flaxfront/internal/cluster/seeds"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/duties"
+	"flaxfront/internal/decision/members"
+	"flaxfront/internal/decision/trust"
+	"flaxfront/internal/decision/words"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/transport/peers"
 )
 
 // The duties of a tier, by their numbers in claims: a later version may add some at the end.
--- a/server/crew_test.go
+++ b/internal/server/crew_test.go
@@ -10,10 +10,10 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/members"
-	"flaxfront/decide/words"
-	"flaxfront/discovery"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/members"
+	"flaxfront/internal/decision/words"
+	"flaxfront/internal/discovery"
 )
 
 // udpAddr finds a free UDP address on loopback.
--- a/server/departed_test.go
+++ b/internal/server/departed_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/httpwire"
+	"flaxfront/internal/transport/httpwire"
 )
 
 // within waits for a state that must come soon, and well before any deadline of the test's searches.
--- a/server/door.go
+++ b/internal/server/door.go
@@ -10,9 +10,9 @@
 	"strings"
 	"time"
 
-	"flaxfront/decide/admission"
-	"flaxfront/operator"
-	"flaxfront/terms"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/admission"
 )
 
 // doorway is the loop's part of it.
--- a/server/door_test.go
+++ b/internal/server/door_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/lab"
-	"flaxfront/operator"
-	"flaxfront/store"
-	"flaxfront/terms"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/lab"
+	"flaxfront/internal/transport/store"
 )
 
 // doorSite is a broker with a door before slow nodes.
--- a/server/drains.go
+++ b/internal/server/drains.go
@@ -8,9 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
-	"flaxfront/fleet"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
 )
 
 // agreed is the loop's part of the fleet.
--- a/server/drains_test.go
+++ b/internal/server/drains_test.go
@@ -8,13 +8,13 @@
 	"testing/synctest"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
-	"flaxfront/decide/pins"
-	"flaxfront/discovery"
-	"flaxfront/fleet"
-	"flaxfront/operator"
-	"flaxfront/store"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/decision/pins"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/transport/store"
 )
 
 // listening is a module that keeps what it is told of nodes, and sends what it is given to one of them.
--- a/server/epoch.go
+++ b/internal/server/epoch.go
@@ -7,11 +7,11 @@
 	"sync/atomic"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
-	"flaxfront/decide/release"
-	"flaxfront/fleet"
-	"flaxfront/terms"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/decision/release"
 )
 
 const epochLook = 500 * time.Millisecond
--- a/server/epoch_test.go
+++ b/internal/server/epoch_test.go
@@ -5,11 +5,11 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
-	"flaxfront/discovery"
-	"flaxfront/fleet"
-	"flaxfront/store"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/transport/store"
 )
 
 // A leader agrees on its list once discovery has spoken and the list has stood for a moment, however often it is told the same.
--- a/server/facts.go
+++ b/internal/server/facts.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/fleet"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/broker"
 )
 
 const (
--- a/server/fleet.go
+++ b/internal/server/fleet.go
@@ -15,13 +15,13 @@
 	"sync/atomic"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
-	"flaxfront/decide/release"
-	"flaxfront/fleet"
-	"flaxfront/keys"
-	"flaxfront/operator"
-	"flaxfront/state/raftlog"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/cluster/raftlog"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/decision/release"
+	"flaxfront/internal/transport/keys"
 )
 
 const (
--- a/server/foreign.go
+++ b/internal/server/foreign.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/routes"
-	"flaxfront/link"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/routes"
+	"flaxfront/internal/transport/link"
 )
 
 // foreigner is a search of another site.
--- a/server/front.go
+++ b/internal/server/front.go
@@ -10,7 +10,7 @@
 	"errors"
 	"time"
 
-	"flaxfront/terms"
+	"flaxfront/internal/config/terms"
 )
 
 // Front is a listener on another protocol.
--- a/server/gateway.go
+++ b/internal/server/gateway.go
@@ -8,10 +8,10 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/routes"
-	"flaxfront/link"
-	"flaxfront/terms"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/routes"
+	"flaxfront/internal/transport/link"
 )
 
 const (
--- a/server/gateway_test.go
+++ b/internal/server/gateway_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"flaxfront/keys"
-	"flaxfront/lab"
+	"flaxfront/internal/lab"
+	"flaxfront/internal/transport/keys"
 )
 
 // twin is two sites on loopback with a wire from the first to the second.
--- a/server/helpers_test.go
+++ b/internal/server/helpers_test.go
@@ -12,11 +12,11 @@
 	"strings"
 	"testing"
 
-	"flaxfront/broker"
-	"flaxfront/httpwire"
-	"flaxfront/logic"
-	"flaxfront/operator"
-	"flaxfront/terms"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/logic"
+	"flaxfront/internal/transport/httpwire"
 )
 
 // standNode is a store node on loopback. It serves each part at once, but none whose text is "hang".
--- a/server/links.go
+++ b/internal/server/links.go
@@ -10,9 +10,9 @@
 	"net"
 	"time"
 
-	"flaxfront/decide/routes"
-	"flaxfront/keys"
-	"flaxfront/link"
+	"flaxfront/internal/decision/routes"
+	"flaxfront/internal/transport/keys"
+	"flaxfront/internal/transport/link"
 )
 
 const (
--- a/server/list.go
+++ b/internal/server/list.go
@@ -8,9 +8,9 @@
 	"slices"
 	"strings"
 
-	"flaxfront/broker"
-	"flaxfront/discovery"
-	"flaxfront/remedy"
+	"flaxfront/internal/config/remedy"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/discovery"
 )
 
 func (l *loop) list(list *discovery.List, err error) {
--- a/server/loop.go
+++ b/internal/server/loop.go
@@ -9,11 +9,11 @@
 	"log/slog"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/admission"
-	"flaxfront/discovery"
-	"flaxfront/store"
-	"flaxfront/terms"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/admission"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/transport/store"
 )
 
 // queueDepth bounds what is delivered and not yet taken. Whoever delivers more waits, so that bytes stay in the
--- a/server/loop_test.go
+++ b/internal/server/loop_test.go
@@ -17,10 +17,10 @@
 	"testing/synctest"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/discovery"
-	"flaxfront/store"
-	"flaxfront/terms"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/transport/store"
 )
 
 func TestMain(m *testing.M) {
--- a/server/pinfacts.go
+++ b/internal/server/pinfacts.go
@@ -7,7 +7,7 @@
 	"log/slog"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // What is delivered to the loop.
--- a/server/pins.go
+++ b/internal/server/pins.go
@@ -12,13 +12,13 @@
 	"sync/atomic"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/pins"
-	"flaxfront/hint"
-	"flaxfront/httpwire"
-	"flaxfront/operator"
-	"flaxfront/store"
-	"flaxfront/terms"
+	"flaxfront/internal/cluster/hint"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/pins"
+	"flaxfront/internal/transport/httpwire"
+	"flaxfront/internal/transport/store"
 )
 
 // Headers of an answer to a search with a hint.
--- a/server/pins_test.go
+++ b/internal/server/pins_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"flaxfront/hint"
-	"flaxfront/operator"
+	"flaxfront/internal/cluster/hint"
+	"flaxfront/internal/config/operator"
 )
 
 // replicaNode is a store node that reports what it is told to.
--- a/server/reload.go
+++ b/internal/server/reload.go
@@ -9,10 +9,10 @@
 	"slices"
 	"time"
 
-	"flaxfront/discovery"
-	"flaxfront/operator"
-	"flaxfront/remedy"
-	"flaxfront/terms"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/remedy"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/discovery"
 )
 
 // check reads what the configuration file leaves in other forms.
--- a/server/reload_test.go
+++ b/internal/server/reload_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
-	"flaxfront/httpwire"
-	"flaxfront/operator"
-	"flaxfront/terms"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/transport/httpwire"
 )
 
 // What can't work is told before anything listens.
--- a/server/saved.go
+++ b/internal/server/saved.go
@@ -7,10 +7,10 @@
 	"log/slog"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/trust"
-	"flaxfront/discovery"
-	"flaxfront/state/nodelist"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/trust"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/discovery/nodelist"
 )
 
 // saved is the loop's part of it.
--- a/server/saved_test.go
+++ b/internal/server/saved_test.go
@@ -8,12 +8,12 @@
 	"testing"
 	"time"
 
-	"flaxfront/decide/trust"
-	"flaxfront/lab"
-	"flaxfront/operator"
-	"flaxfront/state/nodelist"
-	"flaxfront/store"
-	"flaxfront/terms"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/trust"
+	"flaxfront/internal/discovery/nodelist"
+	"flaxfront/internal/lab"
+	"flaxfront/internal/transport/store"
 )
 
 // keeping is a site on loopback whose brokers keep their list.
--- a/server/scan_test.go
+++ b/internal/server/scan_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"unicode/utf8"
 
-	"flaxfront/terms"
+	"flaxfront/internal/config/terms"
 )
 
 // slowBody is what encoding/json makes of a body, the other way being shut.
--- a/server/search.go
+++ b/internal/server/search.go
@@ -7,10 +7,10 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/hint"
-	"flaxfront/store"
-	"flaxfront/terms"
+	"flaxfront/internal/cluster/hint"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/transport/store"
 )
 
 // ask is a search as a front hands it over, whatever its protocol.
--- a/server/server.go
+++ b/internal/server/server.go
@@ -1,6 +1,14 @@
 // Package server is the real broker: clients on one side, nodes, discovery and other brokers on the other, and
 // between them the loop that alone calls the module. This file owns start and end: what is opened, in which order,
 // which limits bind. It must never drop a search that was taken in time.
+//
+// Depends on cluster/fleet, cluster/hint, cluster/policy, cluster/raftlog, cluster/seeds, config/operator,
+// config/remedy, config/terms, decision/admission, decision/broker, decision/duties, decision/ledger,
+// decision/members, decision/pins, decision/release, decision/routes, decision/trust, decision/units,
+// decision/words, discovery, discovery/nodelist, protocols/back, transport/httpwire, transport/keys,
+// transport/link, transport/lookahead, transport/peers, transport/store. Concurrency: one goroutine, the
+// loop, owns every query in hand, the pool and the module; a goroutine a connection and the others only
+// deliver to it.
 package server
 
 import (
@@ -15,17 +23,17 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"flaxfront/back"
-	"flaxfront/broker"
-	"flaxfront/discovery"
-	"flaxfront/keys"
-	"flaxfront/link"
-	"flaxfront/operator"
-	"flaxfront/peers"
-	"flaxfront/state/nodelist"
-	"flaxfront/state/seeds"
-	"flaxfront/store"
-	"flaxfront/terms"
+	"flaxfront/internal/cluster/seeds"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/discovery/nodelist"
+	"flaxfront/internal/protocols/back"
+	"flaxfront/internal/transport/keys"
+	"flaxfront/internal/transport/link"
+	"flaxfront/internal/transport/peers"
+	"flaxfront/internal/transport/store"
 )
 
 // The protocol's times of a planned stop: new connections go on coming for 400 ms, and what comes later than 700 ms
@@ -225,19 +233,3 @@
 	s.listener.Close()
 	return s.group.Wait()
 }
-
-// deliver hands something to the loop and waits while its queue is full; false: it takes no more.
-func (s *Server) deliver(d any) bool {
-	select {
-	case s.loop.in <- d:
-		return true
-	case <-s.ctx.Done():
-		return false
-	}
-}
-
-func (s *Server) heard(from int, text []byte) {
-	if from != s.start.Terms.Me {
-		s.deliver(said{from, text})
-	}
-}
--- a/server/server_test.go
+++ b/internal/server/server_test.go
@@ -12,8 +12,8 @@
 	"testing/synctest"
 	"time"
 
-	"flaxfront/httpwire"
-	"flaxfront/operator"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/transport/httpwire"
 )
 
 const (
--- a/server/stop.go
+++ b/internal/server/stop.go
@@ -6,7 +6,7 @@
 	"log/slog"
 	"time"
 
-	"flaxfront/link"
+	"flaxfront/internal/transport/link"
 )
 
 // drain goes on serving for as long as clients may come, then until all that was taken is answered.
--- a/server/take.go
+++ b/internal/server/take.go
@@ -4,12 +4,12 @@
 // what happened becomes events for the module's next turn.
 
 import (
-	"flaxfront/broker"
-	"flaxfront/discovery"
-	"flaxfront/link"
-	"flaxfront/state/nodelist"
-	"flaxfront/store"
-	"flaxfront/terms"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/discovery/nodelist"
+	"flaxfront/internal/transport/link"
+	"flaxfront/internal/transport/store"
 )
 
 // What is delivered to the loop, beside store.Event.
--- a/server/tally.go
+++ b/internal/server/tally.go
@@ -3,8 +3,8 @@
 // This file owns the loop's count of what became of searches. Nothing decides by it.
 
 import (
-	"flaxfront/decide/trust"
-	"flaxfront/store"
+	"flaxfront/internal/decision/trust"
+	"flaxfront/internal/transport/store"
 )
 
 // Tally counts searches: Taken = Answered + Shed + Errored + Left + InHand.
--- a/server/terms_test.go
+++ b/internal/server/terms_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"flaxfront/httpwire"
-	"flaxfront/operator"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/transport/httpwire"
 )
 
 // crossed is a client's connection at which something happens just after a deadline was set.
--- a/server/turn.go
+++ b/internal/server/turn.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/store"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/transport/store"
 )
 
 // pictured is a module that tells what it takes to be so, to be held against the wire.
--- a/server/world_test.go
+++ b/internal/server/world_test.go
@@ -17,10 +17,10 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/discovery"
-	"flaxfront/logic"
-	"flaxfront/store"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/logic"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/transport/store"
 )
 
 // world is a loop with stand-in nodes. Their writes happen in the loop's goroutine, so that a rule is checked at the
--- a/httpwire/httpwire.go
+++ b/internal/transport/httpwire/httpwire.go
@@ -1,6 +1,9 @@
 // Package httpwire reads and writes HTTP/1.1 messages, for clients and for discovery alike. It owns the framing:
 // heads, bodies with a length or in chunks, and what makes either untrustworthy. It must never know what a message
 // means, hold more of one than its limits, or guess where an unclear message ends.
+//
+// Depends on no package of this module. Concurrency: it keeps no state and starts no goroutine, so that its
+// functions may be called from any goroutine; what they return is the caller's.
 package httpwire
 
 import (
--- a/keys/keys.go
+++ b/internal/transport/keys/keys.go
@@ -3,6 +3,9 @@
 // stranger past the handshake, write a private key that others can read, or end what is in hand when certificates change.
 //
 // An identity is the URI flaxfront://SITE/BROKER in the certificate's subject alternative names (RFC 5280, 4.2.1.6).
+//
+// Depends on no package of this module. Concurrency: it starts no goroutine; what several goroutines may
+// use is behind a lock or an atomic value.
 package keys
 
 import (
--- a/link/bench_test.go
+++ b/internal/transport/link/bench_test.go
@@ -19,7 +19,7 @@
 	"github.com/quic-go/quic-go"
 	"google.golang.org/protobuf/encoding/protowire"
 
-	"flaxfront/keys"
+	"flaxfront/internal/transport/keys"
 )
 
 // What a forwarded search and its verdict cost in three encodings: time both ways, and bytes.
--- a/link/frame.go
+++ b/internal/transport/link/frame.go
@@ -1,6 +1,9 @@
 // Package link carries searches and their verdicts between brokers of two sites. It owns the connections: handshake, version,
 // frames, flow control, heartbeats, and the end of each with a reason code. It must never decide where a search goes, keep one
 // after its connection, hold more memory for a slow or hostile other side than is stated here, or make the loop wait.
+//
+// Depends on transport/keys. Concurrency: goroutines of its own, which the caller's context ends; what they
+// share with callers is behind a lock or an atomic value.
 package link
 
 // This file owns the frames: four bytes of length (least significant first), a letter, and a body in CBOR (RFC 8949) whose
--- a/link/link_test.go
+++ b/internal/transport/link/link_test.go
@@ -16,8 +16,8 @@
 	"testing"
 	"time"
 
-	"flaxfront/keys"
-	"flaxfront/lab"
+	"flaxfront/internal/lab"
+	"flaxfront/internal/transport/keys"
 )
 
 func TestMain(m *testing.M) {
--- a/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -1,5 +1,8 @@
 // Package peers carries the module's messages between brokers, as UDP datagrams. It owns the one socket and knows
 // which address is which broker. It must never read a message, keep one, or hand on what came from a stranger.
+//
+// Depends on no package of this module. Concurrency: it starts no goroutine; what several goroutines may
+// use is behind a lock or an atomic value.
 package peers
 
 import (
--- a/store/bench_test.go
+++ b/internal/transport/store/bench_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 	"fmt"
 	"io"
 	"net/netip"
--- a/store/budget.go
+++ b/internal/transport/store/budget.go
@@ -3,7 +3,7 @@
 // This file owns how the pool keeps to a budget that is divided between brokers and tenants: none is opened without leave, and
 // what is not held any more is closed, idle connections first. It must never know how budgets are divided.
 
-import "flaxfront/broker"
+import "flaxfront/internal/decision/broker"
 
 // Leave is an answer to whether a connection may be opened.
 type Leave uint8
--- a/store/budget_test.go
+++ b/internal/transport/store/budget_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // purse is a budget of so many connections: one is the broker's, the others belong to tenant 1.
--- a/store/conn.go
+++ b/internal/transport/store/conn.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 type conn struct {
--- a/store/end.go
+++ b/internal/transport/store/end.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Event is what a connection's goroutine delivers to the loop.
--- a/store/ends_test.go
+++ b/internal/transport/store/ends_test.go
@@ -1,7 +1,7 @@
 package store
 
 import (
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 	"fmt"
 	"net/netip"
 	"syscall"
--- a/store/limits_test.go
+++ b/internal/transport/store/limits_test.go
@@ -4,7 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 	"net"
 	"net/netip"
 	"syscall"
--- a/store/outto.go
+++ b/internal/transport/store/outto.go
@@ -2,7 +2,7 @@
 
 // This file owns what fleets ask of a pool: whether a node has anything in hand, and that it gets nothing.
 
-import "flaxfront/broker"
+import "flaxfront/internal/decision/broker"
 
 // OutTo tells how many parts are out at a node, or wait for a connection to it.
 func (p *Pool) OutTo(id broker.NodeID) (n int) {
--- a/store/store.go
+++ b/internal/transport/store/store.go
@@ -2,6 +2,8 @@
 // one, the end of those that idle, and how each part ended. One goroutine, the loop's, calls every method of Pool;
 // a goroutine a connection dials and reads, and only delivers. It must never choose a node, hold a part back or send
 // one twice, and it never waits for a socket: a node that does not take a frame at once loses the connection.
+//
+// Depends on decision/broker.
 package store
 
 import (
@@ -10,7 +12,7 @@
 	"net/netip"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Part is one sub-request. The loop hands it over and gets it back, ended, exactly once.
--- a/store/withhold_test.go
+++ b/internal/transport/store/withhold_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // What waits for a connection is not written once the list has ended or drained its node, or tells a newer start of it, however late
