--- a/internal/server/answer.go
+++ b/internal/server/answer.go
@@ -12,8 +12,8 @@
 // search is the life of one search, from its last byte to the last byte of its answer.
 func (s *Server) search(ctx context.Context, c *client, a *ask, arrived time.Duration, last bool) string {
 	q := &search{ask: a, arrived: arrived, deadline: s.answerBy(arrived, a.timeout), crowded: c.crowded,
-		verdict: make(chan verdict, 1)}
-	if !s.deliver(taken{q}) {
+		verdict: make(chan result, 1)}
+	if !s.deliver(queryReceived{q}) {
 		return "shutdown"
 	}
 	c.SetReadDeadline(time.Time{})
@@ -31,7 +31,7 @@
 }
 
 // outcome waits for a search's verdict, and watches meanwhile whether its client goes away, whatever else it has sent.
-func (s *Server) outcome(ctx context.Context, c *client, q *search) (v verdict, reason string) {
+func (s *Server) outcome(ctx context.Context, c *client, q *search) (v result, reason string) {
 	done, gone := make(chan struct{}), make(chan error, 1)
 	watch := func() { gone <- c.ahead.Watch(done) }
 	go watch()
@@ -50,10 +50,10 @@
 				go watch()
 				continue
 			}
-			s.deliver(leave{q, false})
+			s.deliver(queryAbandoned{q, false})
 			return v, clientLeft
 		case <-overdue.C:
-			s.deliver(leave{q, true}) // a verdict comes of it
+			s.deliver(queryAbandoned{q, true}) // a verdict comes of it
 		case <-ctx.Done():
 			close(done)
 			return v, "shutdown"
--- a/internal/server/ask.go
+++ b/internal/server/ask.go
@@ -156,7 +156,7 @@
 }
 
 // appendVerdict encodes the response to a search.
-func appendVerdict(b []byte, v verdict, last bool, heads ...string) []byte {
+func appendVerdict(b []byte, v result, last bool, heads ...string) []byte {
 	switch v.kind {
 	case answered:
 		body := make([]byte, 0, 32+48*len(v.pieces))
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -108,7 +108,7 @@
 		q.parts[i] = askPart{partName(a.ID, shard), shard, a.Weights[i]}
 	}
 	s := &search{ask: q, arrived: c.l.since(), deadline: c.l.since() + a.Timeout}
-	s.to = func(v verdict) {
+	s.to = func(v result) {
 		out := Verdict{Answered: v.kind == answered, Whole: v.whole, Shed: v.kind == shed, After: v.after,
 			Hinted: v.hinted, Seen: v.seen, Behind: v.behind, Stale: v.stale}
 		for _, p := range v.pieces {
@@ -116,18 +116,18 @@
 		}
 		to(out)
 	}
-	c.l.take(taken{s})
+	c.l.take(queryReceived{s})
 	return Held{s}
 }
 
 // Leave tells that a search's client has gone; overdue, that its time is up and a verdict is owed.
-func (c *Core) Leave(h Held, overdue bool) { c.l.take(leave{h.s, overdue}) }
+func (c *Core) Leave(h Held, overdue bool) { c.l.take(queryAbandoned{h.s, overdue}) }
 
 // Event hands on what happened to a connection.
 func (c *Core) Event(e store.Event) { c.l.take(e) }
 
 // List hands on what discovery told, or that a call failed.
-func (c *Core) List(list *discovery.List, err error) { c.l.take(listed{list, err}) }
+func (c *Core) List(list *discovery.List, err error) { c.l.take(listReceived{list, err}) }
 
 // CollectPins is what the broker knows of replicas' positions.
 func (c *Core) CollectPins() []byte { return c.l.pins.book.Collect(c.l.since()) }
@@ -138,14 +138,14 @@
 }
 
 // Said hands on a message of another broker.
-func (c *Core) Said(from int, text []byte) { c.l.take(said{from, text}) }
+func (c *Core) Said(from int, text []byte) { c.l.take(peerMessage{from, text}) }
 
 // Step takes a turn if anything happened and tells when to come again.
 func (c *Core) Step() time.Duration { return c.l.step() }
 
 // Tally is what the broker counts.
 func (c *Core) Tally() Tally {
-	r := report{make(chan Tally, 1)}
+	r := tallyWanted{make(chan Tally, 1)}
 	c.l.take(r)
 	return <-r.to
 }
--- a/internal/server/counters.go
+++ b/internal/server/counters.go
@@ -21,7 +21,7 @@
 
 // Counters asks the loop for its figures and adds the others.
 func (s *Server) Counters() (c Counters) {
-	r := report{make(chan Tally, 1)}
+	r := tallyWanted{make(chan Tally, 1)}
 	if s.deliver(r) {
 		select {
 		case c.Searches = <-r.to:
--- a/internal/server/deliver.go
+++ b/internal/server/deliver.go
@@ -14,6 +14,6 @@
 
 func (s *Server) heard(from int, text []byte) {
 	if from != s.start.Terms.Me {
-		s.deliver(said{from, text})
+		s.deliver(peerMessage{from, text})
 	}
 }
--- a/internal/server/door.go
+++ b/internal/server/door.go
@@ -98,7 +98,7 @@
 		l.ids[s.ask.id] = true
 	case admission.Turn:
 		l.tally.TurnedAway++
-		l.conclude(s, verdict{kind: shed, after: hint})
+		l.conclude(s, result{kind: shed, after: hint})
 	}
 	return false
 }
@@ -118,11 +118,11 @@
 		switch {
 		case !let.Enter:
 			l.tally.TurnedAway++
-			l.endQueued(s, verdict{kind: shed, after: let.Hint})
+			l.endQueued(s, result{kind: shed, after: let.Hint})
 		case l.places+1+n > l.maxOpen:
 			l.letIn(s, now)
 			l.tally.Full++
-			l.endQueued(s, verdict{kind: shed, after: l.comeBack})
+			l.endQueued(s, result{kind: shed, after: l.comeBack})
 		default:
 			l.letIn(s, now)
 			l.enter(s, s.deadline-now)
@@ -132,7 +132,7 @@
 }
 
 // endQueued gives a search that waited at the door its verdict.
-func (l *loop) endQueued(s *search, v verdict) {
+func (l *loop) endQueued(s *search, v result) {
 	l.conclude(s, v)
 	l.tally.InHand--
 	delete(l.ids, s.ask.id)
--- a/internal/server/door_test.go
+++ b/internal/server/door_test.go
@@ -119,9 +119,9 @@
 	if l.door, err = newDoorway(&operator.Default().Door, &terms.Terms{}); err != nil {
 		t.Fatal(err)
 	}
-	s := &search{ask: &ask{id: "a", parts: []askPart{{name: "a.0", weight: 1}}}, deadline: 5 * time.Second, verdict: make(chan verdict, 1)}
+	s := &search{ask: &ask{id: "a", parts: []askPart{{name: "a.0", weight: 1}}}, deadline: 5 * time.Second, verdict: make(chan result, 1)}
 	now = 1 * time.Second
-	l.take(taken{s})
+	l.take(queryReceived{s})
 	now = 1300 * time.Millisecond
 	l.step()
 	now = 1640 * time.Millisecond
--- a/internal/server/drains.go
+++ b/internal/server/drains.go
@@ -140,7 +140,7 @@
 }
 
 // counted adds a verdict to its class.
-func (a *agreed) counted(s *search, v verdict, now time.Duration) {
+func (a *agreed) counted(s *search, v result, now time.Duration) {
 	if s.typ < 0 || s.typ >= len(a.classes) {
 		return
 	}
--- a/internal/server/drains_test.go
+++ b/internal/server/drains_test.go
@@ -69,8 +69,8 @@
 		m.to = a
 		admit := func(id string) *search {
 			s := &search{ask: &ask{id: id, parts: []askPart{{name: id + ".0", weight: 1}}}, deadline: l.since() + 5*time.Second,
-				verdict: make(chan verdict, 1)}
-			l.take(taken{s})
+				verdict: make(chan result, 1)}
+			l.take(queryReceived{s})
 			l.step()
 			return s
 		}
--- a/internal/server/foreign.go
+++ b/internal/server/foreign.go
@@ -79,7 +79,7 @@
 	if s == nil {
 		return // given up meanwhile
 	}
-	answer, how := verdict{kind: errored}, routes.Failed
+	answer, how := result{kind: errored}, routes.Failed
 	switch v.Kind {
 	case link.Refused:
 		how = routes.Refused
@@ -97,18 +97,18 @@
 }
 
 // answerOf makes a verdict of the pieces that came, if they are what they are said to be (rule 5).
-func (s *search) answerOf(v *link.Verdict, t *broker.SearchType) verdict {
-	got, out := 0.0, verdict{kind: answered, whole: v.Whole}
+func (s *search) answerOf(v *link.Verdict, t *broker.SearchType) result {
+	got, out := 0.0, result{kind: answered, whole: v.Whole}
 	for _, p := range v.Pieces {
 		at := slices.IndexFunc(s.ask.parts, func(a askPart) bool { return a.shard == p.Shard })
 		if at < 0 || slices.ContainsFunc(out.pieces, func(o piece) bool { return o.shard == p.Shard }) {
-			return verdict{kind: errored}
+			return result{kind: errored}
 		}
 		got += s.ask.parts[at].weight
 		out.pieces = append(out.pieces, piece{p.Shard, p.Value})
 	}
 	if got < t.Floor-slip || v.Whole && got < t.Need-slip {
-		return verdict{kind: errored}
+		return result{kind: errored}
 	}
 	return out
 }
@@ -138,14 +138,14 @@
 	case routes.Run:
 		f := &foreigner{conn: c}
 		f.s = &search{ask: a, deadline: now + left, foreign: true}
-		f.s.to = func(v verdict) { l.foreignEnd(k, f, v) }
+		f.s.to = func(v result) { l.foreignEnd(k, f, v) }
 		g.foreign[k] = f
 		l.admit(f.s)
 	}
 }
 
 // foreignEnd tells another site the verdict on its search.
-func (l *loop) foreignEnd(k routes.Key, f *foreigner, v verdict) {
+func (l *loop) foreignEnd(k routes.Key, f *foreigner, v result) {
 	out := link.Verdict{ID: k.ID, Whole: v.whole, After: v.after.Microseconds(), Kind: link.Failed}
 	switch v.kind {
 	case answered:
@@ -170,7 +170,7 @@
 func (l *loop) callOff(s *search) {
 	if !s.over {
 		l.events = append(l.events, broker.Event{Kind: broker.Left, ID: s.id})
-		l.conclude(s, verdict{kind: errored})
+		l.conclude(s, result{kind: errored})
 		l.finish(s)
 	}
 }
--- a/internal/server/front.go
+++ b/internal/server/front.go
@@ -44,11 +44,11 @@
 // left.
 func (s *Server) Search(ctx context.Context, a *Ask) (Verdict, error) {
 	q := &search{ask: &ask{id: a.ID, typ: a.Type, tenant: a.Tenant, client: a.Client, repeat: a.Repeat, timeout: a.Timeout, text: a.Text},
-		arrived: s.loop.since(), deadline: s.loop.since() + a.Timeout, verdict: make(chan verdict, 1)}
+		arrived: s.loop.since(), deadline: s.loop.since() + a.Timeout, verdict: make(chan result, 1)}
 	for i, shard := range a.Shards {
 		q.ask.parts = append(q.ask.parts, askPart{partName(a.ID, shard), shard, a.Weights[i]})
 	}
-	if !s.deliver(taken{q}) {
+	if !s.deliver(queryReceived{q}) {
 		return Verdict{}, ErrStopping
 	}
 	overdue := time.NewTimer(a.Timeout)
@@ -62,9 +62,9 @@
 			}
 			return out, nil
 		case <-overdue.C:
-			s.deliver(leave{q, true}) // a verdict comes of it
+			s.deliver(queryAbandoned{q, true}) // a verdict comes of it
 		case <-ctx.Done():
-			s.deliver(leave{q, false})
+			s.deliver(queryAbandoned{q, false})
 			return Verdict{}, ctx.Err()
 		case <-s.ctx.Done():
 			return Verdict{}, ErrStopping
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -87,9 +87,9 @@
 			case routes.Home:
 				l.bringHome(s, a)
 			case routes.Shed:
-				l.endAbroad(s, a.ID, verdict{kind: shed, after: max(s.after, l.comeBack)})
+				l.endAbroad(s, a.ID, result{kind: shed, after: max(s.after, l.comeBack)})
 			case routes.Fail:
-				l.endAbroad(s, a.ID, verdict{kind: errored})
+				l.endAbroad(s, a.ID, result{kind: errored})
 			case routes.Log:
 				slog.Info("gateway", "mode", a.Text)
 			}
@@ -111,7 +111,7 @@
 }
 
 // endAbroad gives a search that was abroad its verdict.
-func (l *loop) endAbroad(s *search, id uint64, v verdict) {
+func (l *loop) endAbroad(s *search, id uint64, v result) {
 	l.conclude(s, v)
 	l.leaveAbroad(s, id)
 }
@@ -133,16 +133,16 @@
 		s.over = true
 		delete(l.ids, s.ask.id)
 		l.tally.Full++
-		l.conclude(s, s.shedding(verdict{kind: shed, after: l.comeBack}, l))
+		l.conclude(s, s.shedding(result{kind: shed, after: l.comeBack}, l))
 		return
 	}
 	l.enter(s, a.Left)
 }
 
 // shedding is the verdict on a search that is shed: one that may have run elsewhere can't say that asking again is harmless.
-func (s *search) shedding(v verdict, l *loop) verdict {
+func (s *search) shedding(v result, l *loop) result {
 	if v.kind == shed && s.risk && l.types[s.typ].Effect != broker.Idempotent {
-		return verdict{kind: errored}
+		return result{kind: errored}
 	}
 	return v
 }
--- a/internal/server/loop_test.go
+++ b/internal/server/loop_test.go
@@ -49,7 +49,7 @@
 // one client asks for one search and checks its answer, or leaves.
 func (w *world) client(n, typ int, leaves bool) {
 	s := &search{ask: &ask{id: fmt.Sprint("s", n), typ: typ, timeout: 2 * time.Second, text: "x"},
-		verdict: make(chan verdict, 1)}
+		verdict: make(chan result, 1)}
 	shards := w.rnd.Perm(6)[:1+w.rnd.IntN(6)]
 	for _, shard := range shards {
 		s.ask.parts = append(s.ask.parts, askPart{fmt.Sprintf("%s.%d", s.ask.id, shard), shard, 1 / float64(len(shards))})
@@ -59,11 +59,11 @@
 	w.asked[s.ask.id] = s
 	w.mu.Unlock()
 	patience := time.Duration(w10(w.rnd)) * 50 * time.Millisecond
-	w.loop.in <- taken{s}
+	w.loop.in <- queryReceived{s}
 	go func() {
 		if leaves {
 			time.Sleep(patience)
-			w.loop.in <- leave{s: s}
+			w.loop.in <- queryAbandoned{s: s}
 			return
 		}
 		v := <-s.verdict
@@ -131,7 +131,7 @@
 		synctest.Wait() // from here on nothing else runs
 		switch w.rnd.IntN(12) {
 		case 0:
-			l.in <- listed{err: io.EOF}
+			l.in <- listReceived{err: io.EOF}
 		case 1:
 			node := &w.nodes[w.rnd.IntN(len(w.nodes))]
 			node.Entry.State = broker.ListState(w.rnd.IntN(3))
@@ -141,9 +141,9 @@
 			} else if _, down := w.downAt[node.Addr.String()]; !down {
 				w.downAt[node.Addr.String()] = l.since()
 			}
-			l.in <- listed{list: &discovery.List{Nodes: []discovery.Node{*node}}}
+			l.in <- listReceived{list: &discovery.List{Nodes: []discovery.Node{*node}}}
 		case 2:
-			l.in <- said{1, []byte("nonsense that no peer says")}
+			l.in <- peerMessage{1, []byte("nonsense that no peer says")}
 		case 3: // a node is replaced under a new id, which a whole list from elsewhere tells, or the changes
 			i := w.rnd.IntN(len(w.nodes))
 			old := w.nodes[i]
@@ -154,15 +154,15 @@
 			node.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(1 + n), byte(i)}), 80)
 			node.Entry.Node, node.Entry.State, node.Entry.Boot = discovery.ID(node.Name), broker.Ready, l.since()
 			if w.rnd.IntN(2) == 0 {
-				l.in <- listed{list: &discovery.List{Nodes: []discovery.Node{old, *node}}}
+				l.in <- listReceived{list: &discovery.List{Nodes: []discovery.Node{old, *node}}}
 			} else {
-				l.in <- listed{list: &discovery.List{Whole: true, Nodes: slices.Clone(w.nodes)}}
+				l.in <- listReceived{list: &discovery.List{Whole: true, Nodes: slices.Clone(w.nodes)}}
 			}
 		default:
 			w.client(n, w.rnd.IntN(2), w.rnd.IntN(8) == 0)
 		}
 		synctest.Wait()
-		r := report{make(chan Tally, 1)}
+		r := tallyWanted{make(chan Tally, 1)}
 		l.in <- r
 		if now := <-r.to; now.OutByModule != now.Out {
 			w.t.Errorf("step %d: the module takes %d parts to be out, %d are", n, now.OutByModule, now.Out)
@@ -193,10 +193,10 @@
 		w := newWorld(t, 1)
 		l := w.loop
 		l.pool = store.NewPool(t.Context(), store.Limits{}, nil, l.since, nil, nil, l.subrequestEnded)
-		var verdicts []verdictKind
+		var verdicts []resultKind
 		for i, id := range []string{"a", "a", "b", "c"} {
-			s := &search{ask: &ask{id: id, parts: make([]askPart, 15+i)}, verdict: make(chan verdict, 1)}
-			l.take(taken{s})
+			s := &search{ask: &ask{id: id, parts: make([]askPart, 15+i)}, verdict: make(chan result, 1)}
+			l.take(queryReceived{s})
 			if len(s.verdict) > 0 {
 				v := <-s.verdict
 				verdicts = append(verdicts, v.kind)
--- a/internal/server/pins.go
+++ b/internal/server/pins.go
@@ -146,7 +146,7 @@
 }
 
 // pinVerdict has a verdict say what its client has to know.
-func (l *loop) pinVerdict(s *search, v *verdict) {
+func (l *loop) pinVerdict(s *search, v *result) {
 	switch {
 	case s.pin == nil:
 	case v.kind == shed && v.after > 0 && s.pin.back > 0 && s.unheld():
@@ -167,7 +167,7 @@
 }
 
 // pinAnswer states the positions and the age of what is in.
-func (l *loop) pinAnswer(s *search, v *verdict) {
+func (l *loop) pinAnswer(s *search, v *result) {
 	oldest, behind := l.since(), []int{}
 	for i := range s.parts {
 		if !s.parts[i].in {
@@ -191,7 +191,7 @@
 }
 
 // readHeads are the headers of a verdict that are owed to a hint.
-func readHeads(a *ask, v *verdict) (heads []string) {
+func readHeads(a *ask, v *result) (heads []string) {
 	if a.ignored != "" {
 		heads = append(heads, headIgnored+a.ignored)
 	}
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -98,7 +98,7 @@
 // retune has all go on under other settings: the loop first, then what clients send. What was read under the old ones and comes
 // to the loop later is translated there.
 func (s *Server) retune(t *terms.Terms, moved bool, list *discovery.List) {
-	r := retune{t, moved, list, make(chan struct{})}
+	r := settingsChanged{t, moved, list, make(chan struct{})}
 	if !s.deliver(r) {
 		return
 	}
--- a/internal/server/search.go
+++ b/internal/server/search.go
@@ -40,8 +40,8 @@
 	arrived  time.Duration // when it had come whole
 	deadline time.Duration // when its client gives up
 	crowded  bool          // its front has no room for it
-	verdict  chan verdict  // holds one; nobody waits to deliver it
-	to       func(verdict) // takes the verdict instead, in the loop
+	verdict  chan result   // holds one; nobody waits to deliver it
+	to       func(result)  // takes the verdict instead, in the loop
 
 	// where there is a gateway to other sites
 	foreign bool          // it came over a link
@@ -73,9 +73,9 @@
 	tries []*store.Part
 }
 
-// verdict is the final answer.
-type verdict struct {
-	kind   verdictKind
+// result is the final answer.
+type result struct {
+	kind   resultKind
 	whole  bool
 	after  time.Duration // shed: when to come back; 0: no advice
 	pieces []piece
@@ -87,10 +87,10 @@
 	stale  time.Duration   // what the answer may lack at the most; pins.Unknown: no bound is known
 }
 
-type verdictKind uint8
+type resultKind uint8
 
 const (
-	answered verdictKind = iota
+	answered resultKind = iota
 	shed
 	errored
 	twice // a search of that id is in hand
@@ -128,18 +128,18 @@
 	l.tally.Taken++
 	n := len(s.ask.parts)
 	if l.ids[s.ask.id] {
-		l.conclude(s, verdict{kind: twice})
+		l.conclude(s, result{kind: twice})
 		return
 	}
 	if s.crowded || l.places+1+n > l.maxOpen || !l.fits(s.ask) {
 		l.tally.Full++
-		l.conclude(s, verdict{kind: shed, after: l.comeBack}) // the longest that the settings let it say
+		l.conclude(s, result{kind: shed, after: l.comeBack}) // the longest that the settings let it say
 		return
 	}
 	if l.budgets != nil && !s.foreign {
 		if after, full := l.budgets.noRoom(s.tenant); full {
 			l.tally.TurnedAway++
-			l.conclude(s, verdict{kind: shed, after: min(after, l.comeBack)})
+			l.conclude(s, result{kind: shed, after: min(after, l.comeBack)})
 			return
 		}
 	}
@@ -177,14 +177,14 @@
 }
 
 // verdictOf makes the final answer of the module's word and the values that are in.
-func (s *search) verdictOf(a *broker.Action) verdict {
+func (s *search) verdictOf(a *broker.Action) result {
 	switch a.Kind {
 	case broker.Shed:
-		return verdict{kind: shed, after: a.After}
+		return result{kind: shed, after: a.After}
 	case broker.Fail:
-		return verdict{kind: errored}
+		return result{kind: errored}
 	}
-	v := verdict{kind: answered, whole: a.Whole}
+	v := result{kind: answered, whole: a.Whole}
 	for i := range s.parts {
 		if s.parts[i].in {
 			v.pieces = append(v.pieces, piece{s.ask.parts[i].shard, s.parts[i].value})
@@ -194,7 +194,7 @@
 }
 
 // conclude gives a search its one verdict and counts it.
-func (l *loop) conclude(s *search, v verdict) {
+func (l *loop) conclude(s *search, v result) {
 	switch v.kind {
 	case answered:
 		l.tally.Answered++
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -100,7 +100,7 @@
 	s.cancel = cancel
 	s.group, s.ctx = errgroup.WithContext(ctx)
 	s.nodeList = discovery.NewClient(start.Discovery.String(), s.reader, t.AskEvery, s.list.Version, s.known,
-		func(list *discovery.List, err error) { s.deliver(listed{list, err}) })
+		func(list *discovery.List, err error) { s.deliver(listReceived{list, err}) })
 	if t.Pushed {
 		s.nodeList.Pushed()
 	}
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -15,7 +15,7 @@
 	s.stopped.Store(int64(s.loop.since()))
 	s.draining.Store(true)
 	if s.loop.crew != nil { // before anything else: duties are taken over at once
-		d := parted{make(chan struct{})}
+		d := stopBegun{make(chan struct{})}
 		if s.deliver(d) {
 			select {
 			case <-d.done:
--- a/internal/server/take.go
+++ b/internal/server/take.go
@@ -14,22 +14,22 @@
 
 // What is delivered to the loop, beside store.Event.
 type (
-	taken struct{ s *search }
-	leave struct {
+	queryReceived  struct{ s *search }
+	queryAbandoned struct {
 		s       *search
 		overdue bool // no verdict came in time; else the client has gone
 	}
-	listed struct {
+	listReceived struct {
 		list *discovery.List
 		err  error
 	}
-	said struct {
+	peerMessage struct {
 		from int
 		text []byte
 	}
-	report struct{ to chan Tally }
-	parted struct{ done chan struct{} } // the broker stops: the tier is told
-	retune struct {                     // other settings come into force
+	tallyWanted     struct{ to chan Tally }
+	stopBegun       struct{ done chan struct{} } // the broker stops: the tier is told
+	settingsChanged struct {                     // other settings come into force
 		terms *terms.Terms
 		moved bool            // with other shards, or other nodes
 		list  *discovery.List // the nodes there, as far as known; nil: not at all
@@ -42,12 +42,12 @@
 	switch d := d.(type) {
 	case store.Event:
 		l.pool.Handle(d)
-	case taken:
+	case queryReceived:
 		l.admit(d.s)
-	case leave:
+	case queryAbandoned:
 		if !d.s.over {
 			if d.overdue {
-				l.conclude(d.s, verdict{kind: errored})
+				l.conclude(d.s, result{kind: errored})
 			} else {
 				l.tally.Left++
 			}
@@ -66,9 +66,9 @@
 			l.finish(d.s)
 			l.unsend(d.s) // now, as a connection may come up in the same moment
 		}
-	case listed:
+	case listReceived:
 		l.list(d.list, d.err)
-	case said:
+	case peerMessage:
 		l.events = append(l.events, broker.Event{Kind: broker.PeerSaid, From: uint32(d.from), Text: d.text})
 	case viewed:
 		l.see(d.view)
@@ -78,12 +78,12 @@
 		}
 	case met:
 		l.metOne(d)
-	case retune:
+	case settingsChanged:
 		l.retune(d)
 		close(d.done)
 	case yielded:
 		d.holds <- l.budgets.yield()
-	case parted:
+	case stopBegun:
 		l.leaveCrew()
 		close(d.done)
 	case nodelist.Ask:
@@ -92,7 +92,7 @@
 		l.linked(d)
 	case pinCollect, pinFacts, pinEpoch:
 		l.pinTold(d)
-	case report:
+	case tallyWanted:
 		t := l.tally
 		if l.saved != nil {
 			c := l.saved.judge.Picture(l.since())
@@ -123,7 +123,7 @@
 
 // retune has the loop, the pool and the module go on under other settings. What came before is taken under the old ones, and what
 // is in hand ends by them. Where shards or nodes are others now, the nodes known so far get nothing more.
-func (l *loop) retune(d retune) {
+func (l *loop) retune(d settingsChanged) {
 	if d.moved {
 		l.relist(&discovery.List{Whole: true})
 	}
