--- a/terms/terms.go
+++ b/internal/config/terms/terms.go
@@ -1,6 +1,9 @@
 // Package terms reads what a broker is told at its start. It owns the one decoding of the settings object, which
 // the simulator writes as path=value lines and the platform as nested JSON, and the configuration file round it.
 // It must never decide anything, fill in a figure of its own, or let a setting through that it could not read.
+//
+// Depends on decision/broker. Concurrency: it keeps no state and starts no goroutine, so that its functions
+// may be called from any goroutine; what they return is the caller's.
 package terms
 
 import (
@@ -16,7 +19,7 @@
 	"strings"
 	"time"
 
-	"flaxfront/broker"
+	"flaxfront/internal/decision/broker"
 )
 
 // Terms are the settings: the module's, and those that only a front on sockets needs.
@@ -30,6 +33,7 @@
 	Idle     time.Duration // a node closes a connection that stood idle for so long
 	Dial     time.Duration // a connection that is not up by then has failed
 	AskEvery time.Duration // the longest a broker may go without hearing from discovery
+	Pushed   bool          // an agent of this broker's own holds the list and tells it at once
 	Me       int           // its number among the peers
 }
 
@@ -275,6 +279,7 @@
 	case "ask":
 		t.AskList = true
 	case "", "push":
+		f.Pushed = mode == "push"
 		t.AskList = p.sockets // discovery on sockets tells only those who ask
 	default:
 		p.fail("registryMode", "unknown form %q", mode)
--- a/discovery/call.go
+++ b/internal/discovery/call.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"time"
 
-	"flaxfront/httpwire"
+	"flaxfront/internal/transport/httpwire"
 )
 
 // A change of the list counts as told 6 s after discovery had it, whatever became of the calls in between; what a silent watch
@@ -37,6 +37,7 @@
 const (
 	pauseLeast = 500 * time.Millisecond
 	pauseMost  = 400 * time.Millisecond
+	agentPause = 200 * time.Millisecond // before an agent of this broker's own is asked again; less than any drain is given
 )
 
 // After a move what the new service has counts as told so long after it, whatever it answers until then.
--- a/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -11,7 +11,7 @@
 	"testing/synctest"
 	"time"
 
-	"flaxfront/httpwire"
+	"flaxfront/internal/transport/httpwire"
 )
 
 // Every ask gets one answer or more; a failure ends the watch, and an unreadable or older list leads to a whole one.
@@ -164,7 +164,7 @@
 		synctest.Wait()
 		other := reader()
 		other.Cells += 4
-		c.Move("old", &Terms{other, 2 * time.Second})
+		c.Move("old", &Terms{Reader: other, Wait: 2 * time.Second})
 		synctest.Wait()
 		c.Ask()
 		synctest.Wait()
--- a/server/drains.go
+++ b/internal/server/drains.go
@@ -8,9 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
-	"flaxfront/fleet"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
 )
 
 // agreed is the loop's part of the fleet.
@@ -140,7 +140,7 @@
 }
 
 // counted adds a verdict to its class.
-func (a *agreed) counted(s *search, v verdict, now time.Duration) {
+func (a *agreed) counted(s *search, v result, now time.Duration) {
 	if s.typ < 0 || s.typ >= len(a.classes) {
 		return
 	}
--- a/server/drains_test.go
+++ b/internal/server/drains_test.go
@@ -8,13 +8,13 @@
 	"testing/synctest"
 	"time"
 
-	"flaxfront/broker"
-	"flaxfront/decide/ledger"
-	"flaxfront/decide/pins"
-	"flaxfront/discovery"
-	"flaxfront/fleet"
-	"flaxfront/operator"
-	"flaxfront/store"
+	"flaxfront/internal/cluster/fleet"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/decision/broker"
+	"flaxfront/internal/decision/ledger"
+	"flaxfront/internal/decision/pins"
+	"flaxfront/internal/discovery"
+	"flaxfront/internal/transport/store"
 )
 
 // listening is a module that keeps what it is told of nodes, and sends what it is given to one of them.
@@ -69,8 +69,8 @@
 		m.to = a
 		admit := func(id string) *search {
 			s := &search{ask: &ask{id: id, parts: []askPart{{name: id + ".0", weight: 1}}}, deadline: l.since() + 5*time.Second,
-				verdict: make(chan verdict, 1)}
-			l.take(taken{s})
+				verdict: make(chan result, 1)}
+			l.take(queryReceived{s})
 			l.step()
 			return s
 		}
--- a/server/reload.go
+++ b/internal/server/reload.go
@@ -9,10 +9,10 @@
 	"slices"
 	"time"
 
-	"flaxfront/discovery"
-	"flaxfront/operator"
-	"flaxfront/remedy"
-	"flaxfront/terms"
+	"flaxfront/internal/config/operator"
+	"flaxfront/internal/config/remedy"
+	"flaxfront/internal/config/terms"
+	"flaxfront/internal/discovery"
 )
 
 // check reads what the configuration file leaves in other forms.
@@ -63,8 +63,8 @@
 			list = nil
 		}
 		s.retune(&start.Terms, moved, list)
-		if moved || have.Terms.AskEvery != start.Terms.AskEvery {
-			asked = &discovery.Terms{Reader: reader, Wait: start.Terms.AskEvery}
+		if moved || have.Terms.AskEvery != start.Terms.AskEvery || have.Terms.Pushed != start.Terms.Pushed {
+			asked = &discovery.Terms{Reader: reader, Wait: start.Terms.AskEvery, Pushed: start.Terms.Pushed}
 		}
 	}
 	if fixed = append(fixed, s.operator.Differs(file)...); s.asked != start.Discovery || asked != nil {
@@ -98,7 +98,7 @@
 // retune has all go on under other settings: the loop first, then what clients send. What was read under the old ones and comes
 // to the loop later is translated there.
 func (s *Server) retune(t *terms.Terms, moved bool, list *discovery.List) {
-	r := retune{t, moved, list, make(chan struct{})}
+	r := settingsChanged{t, moved, list, make(chan struct{})}
 	if !s.deliver(r) {
 		return
 	}
