--- a/internal/config/remedy/remedy_test.go
+++ b/internal/config/remedy/remedy_test.go
@@ -92,7 +92,7 @@
 		t.Fatal(err)
 	}
 	types := map[string]bool{}
-	err = filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+	err = filepath.WalkDir("../../..", func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
