--- /dev/null
+++ b/cmd/flaxfront/nodesio.go
@@ -0,0 +1,213 @@
+package main
+
+// This file owns what the commands on the saved node list read and print.
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"flaxfront/internal/decision/trust"
+	"flaxfront/internal/discovery/nodelist"
+)
+
+// listed is an entry as operators read and write it.
+type listed struct {
+	Name       string    `json:"name"`
+	Addr       string    `json:"addr"`
+	Zone       string    `json:"zone"`
+	Cell       int       `json:"cell"`
+	State      string    `json:"state"`
+	Started    time.Time `json:"started,omitzero"`
+	Confirmed  time.Time `json:"confirmed,omitzero"`
+	By         string    `json:"by"`
+	Told       time.Time `json:"told,omitzero"`
+	Generation uint64    `json:"generation"`
+}
+
+func moment(m trust.Moment) (t time.Time) {
+	if m > 0 {
+		t = m.Time().UTC()
+	}
+	return t
+}
+
+func writeJSON(w io.Writer, entries []trust.Entry) error {
+	all := []listed{}
+	for _, e := range entries {
+		all = append(all, listed{e.Name, e.Addr.String(), e.Zone, e.Cell, e.State.String(), moment(e.Started),
+			moment(e.Confirmed), e.By.String(), moment(e.Told), e.Generation})
+	}
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", " ")
+	return enc.Encode(all)
+}
+
+// readEntries reads what export wrote; one wrong entry spoils all.
+func readEntries(path string, stdin io.Reader) (entries []trust.Entry, err error) {
+	in := stdin
+	if path != "-" {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		defer f.Close()
+		in = f
+	}
+	var all []listed
+	d := json.NewDecoder(in)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&all); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	at := func(t time.Time) (m trust.Moment) {
+		if !t.IsZero() {
+			m = trust.At(t)
+		}
+		return m
+	}
+	for i, l := range all {
+		e := trust.Entry{Name: l.Name, Zone: l.Zone, Cell: l.Cell, Started: at(l.Started), Confirmed: at(l.Confirmed),
+			By: trust.Imported, Told: at(l.Told), Generation: l.Generation}
+		state := slices.IndexFunc([]trust.State{trust.Ready, trust.Draining, trust.Ended}, func(s trust.State) bool {
+			return s.String() == l.State
+		})
+		if e.State = trust.State(max(0, state)); state < 0 {
+			return nil, fmt.Errorf("%s: entry %d: state %.40q", path, i, l.State)
+		}
+		if err := e.Addr.UnmarshalText([]byte(l.Addr)); err != nil && e.State != trust.Ended {
+			return nil, fmt.Errorf("%s: entry %d: addr %.60q", path, i, l.Addr)
+		}
+		if e.Name == "" || e.Cell < 0 {
+			return nil, fmt.Errorf("%s: entry %d: name %.40q in cell %d", path, i, e.Name, e.Cell)
+		}
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
+
+func showNodes(out io.Writer, p listPlace, c *nodelist.Content, names []string, ended, asJSON bool) error {
+	var entries []trust.Entry
+	for _, e := range c.All() {
+		if len(names) == 0 && (ended || e.State != trust.Ended) || slices.Contains(names, e.Name) {
+			entries = append(entries, e)
+		}
+	}
+	if asJSON {
+		return writeJSON(out, entries)
+	}
+	for _, f := range c.Faults {
+		fmt.Fprintf(out, "%s: not read whole: %v\n", f.File, f.Err)
+	}
+	if !c.Found {
+		fmt.Fprintln(out, "no list that can be read")
+		return nil
+	}
+	now := trust.At(time.Now())
+	fmt.Fprintf(out, "generation %d of %s, deployment %s, confirmed %s ago\n", c.Head.Generation, c.Head.Service,
+		c.Head.Deployment, now.Since(c.Head.Confirmed).Round(time.Second))
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "NAME\tADDRESS\tZONE\tCELL\tSTATE\tCONFIRMED\tBY\tDOUBT\tSTARTED")
+	t := p.own.Start.Trust
+	book := trust.NewBook(c.Head, c.All())
+	judge := trust.NewJudge(trust.Policy{HalfLife: t.HalfLife, Oldest: t.Oldest, StrikeAt: t.StrikeAt, Parole: t.Parole},
+		book, now)
+	for _, e := range entries {
+		confirmed, started := "never", "long ago"
+		if age, known := judge.Age(&e); known {
+			confirmed = age.Round(time.Second).String() + " ago"
+		}
+		if e.Started > 0 {
+			started = moment(e.Started).Format(time.RFC3339)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%s\t%.3f\t%s\n", e.Name, e.Addr, e.Zone, e.Cell, e.State, confirmed, e.By,
+			judge.Prior(&e), started)
+	}
+	return w.Flush()
+}
+
+// verifyNodes fails where a file is damaged, or where a node that should be in service can't be reached.
+func verifyNodes(out io.Writer, p listPlace, reach time.Duration) error {
+	c, err := nodelist.Read(nodelist.Disk{}, p.dir, p.deployment)
+	if err != nil {
+		return err
+	}
+	for _, f := range c.Faults {
+		fmt.Fprintf(out, "%s: %v\n", f.File, f.Err)
+	}
+	if !c.Found {
+		return errors.New("no list that can be read")
+	}
+	var ready []trust.Entry
+	for _, e := range c.All() {
+		if e.State == trust.Ready {
+			ready = append(ready, e)
+		}
+	}
+	fmt.Fprintf(out, "%d entries, %d in service\n", len(c.Entries), len(ready))
+	unreached := make([]error, len(ready))
+	if reach > 0 {
+		var g errgroup.Group
+		g.SetLimit(32)
+		for i := range ready {
+			g.Go(func() error {
+				conn, err := net.DialTimeout("tcp", ready[i].Addr.String(), reach)
+				if err == nil {
+					conn.Close()
+				}
+				unreached[i] = err
+				return nil
+			})
+		}
+		g.Wait()
+	}
+	bad := 0
+	for i, err := range unreached {
+		if err != nil {
+			bad++
+			fmt.Fprintf(out, "%s: %v\n", ready[i].Name, err)
+		}
+	}
+	if bad > 0 || len(c.Faults) > 0 {
+		return fmt.Errorf("%d nodes out of reach, %d files not read whole", bad, len(c.Faults))
+	}
+	return nil
+}
+
+// change carries out an ask: by the broker that holds the directory, or else here.
+func change(out io.Writer, p listPlace, a nodelist.Ask) error {
+	c, err := nodelist.Read(nodelist.Disk{}, p.dir, p.deployment)
+	if err != nil {
+		return err
+	}
+	deployment := p.deployment
+	if deployment == "" {
+		deployment = c.Head.Deployment
+	}
+	if deployment == "" {
+		return errors.New("no list there yet; --config tells which deployment it is to belong to")
+	}
+	store, content := nodelist.Open(nodelist.Options{Dir: p.dir, Deployment: deployment})
+	defer store.Close()
+	if !store.Held() {
+		if err := nodelist.Leave(nodelist.Disk{}, p.dir, deployment, a, time.Now()); err != nil {
+			return err
+		}
+		fmt.Fprintln(out, "left for the broker that runs; its log tells what it took")
+		return nil
+	}
+	book := trust.NewBook(content.Head, content.All())
+	fmt.Fprintf(out, "imported %d, forgotten %d\n", book.Import(a.Import), book.Forget(a.Forget))
+	if changes, any := book.Changes(); any {
+		store.Put(changes)
+	}
+	return store.Flush()
+}
--- a/internal/decision/duties/duties.go
+++ b/internal/decision/duties/duties.go
@@ -40,41 +40,6 @@
 	Fence uint32
 }
 
-// Claim is what brokers tell one another of a duty.
-type Claim struct {
-	Duty  uint8
-	Fence uint32
-	Owner uint32
-	Turn  uint32        // how many runs are known of
-	Ran   time.Duration // how long ago the last of them began, by whoever made it
-	Free  bool          // the owner gives it up
-}
-
-const claimSize = 18
-
-// Append encodes a claim. Ages travel, not moments: clocks need not agree.
-func (c *Claim) Append(b []byte) []byte {
-	flags := byte(0)
-	if c.Free {
-		flags = 1
-	}
-	b = append(b, c.Duty, flags)
-	b = binary.BigEndian.AppendUint32(b, c.Fence)
-	b = binary.BigEndian.AppendUint32(b, c.Owner)
-	b = binary.BigEndian.AppendUint32(b, c.Turn)
-	return binary.BigEndian.AppendUint32(b, uint32(min(c.Ran.Milliseconds(), math.MaxUint32)))
-}
-
-// Read decodes a claim.
-func Read(b []byte) (c Claim, ok bool) {
-	if len(b) != claimSize || b[1] > 1 {
-		return c, false
-	}
-	c = Claim{Duty: b[0], Free: b[1] == 1, Fence: binary.BigEndian.Uint32(b[2:]), Owner: binary.BigEndian.Uint32(b[6:]),
-		Turn: binary.BigEndian.Uint32(b[10:]), Ran: time.Duration(binary.BigEndian.Uint32(b[14:])) * time.Millisecond}
-	return c, c.Owner != 0
-}
-
 // state is what a broker knows of a duty.
 type state struct {
 	Duty
@@ -150,55 +115,6 @@
 	return id
 }
 
-// Take takes over another broker's claim and tells whether it was news, to be told on.
-func (d *Duties) Take(c Claim, now time.Duration) (fresh bool) {
-	if int(c.Duty) >= len(d.all) {
-		return false // of a version that has more duties
-	}
-	s := &d.all[c.Duty]
-	if c.Turn > s.turn {
-		// Danger: a run is told late, or under an older number, and would be made again. Whoever made it, it was made. That it is
-		// told by its number keeps word that goes round for long from making it look later each time.
-		s.turn, s.ran, fresh = c.Turn, max(s.ran, now-c.Ran), true
-	}
-	switch {
-	case c.Fence < s.fence, c.Fence == s.fence && c.Owner > s.owner && s.owner != 0:
-		// An older one, or of two at once the one that gives way. Danger: whoever claims it has missed the later one, perhaps of
-		// an owner that is dead by now, and all it does is refused for good. It is told.
-		if now-s.echoed >= d.policy.Settle && s.owner != 0 {
-			s.echoed = now
-			d.claims = append(d.claims, Claim{Duty: c.Duty, Fence: s.fence, Owner: s.owner, Turn: s.turn, Ran: max(0, now-s.ran), Free: s.free})
-		}
-		return fresh
-	case c.Fence == s.fence && c.Owner == s.owner:
-		s.heard = now
-		if c.Free && !s.free {
-			s.free, fresh = true, true
-		}
-		return fresh
-	}
-	if s.owner == d.self {
-		s.running = false // what it does from now on is refused
-	}
-	s.fence, s.owner, s.free, s.heard = c.Fence, c.Owner, c.Free, now
-	return true
-}
-
-// Accept tells whether what somebody did of a duty under a fencing number is to be taken. Danger: an owner that was paused
-// wakes up and carries on as if nothing had happened. A number that was accepted counts as known: the model found an owner that
-// took the work of its successor and went on with its own.
-func (d *Duties) Accept(duty int, fence uint32) bool {
-	s := &d.all[duty]
-	if fence < s.fence {
-		s.refused++
-		return false
-	}
-	if fence > s.fence { // the claim itself has not come yet, or never will
-		s.fence, s.owner, s.free, s.running = fence, 0, false, false
-	}
-	return true
-}
-
 // Tick returns what is to be done now, and when to come again. Claims has what is to be told.
 func (d *Duties) Tick(now time.Duration) (runs []Run, next time.Duration) {
 	if d.last > 0 && now-d.last > d.policy.Lease { // paused, or starved: whatever it owned it must claim again, once it has heard of others
@@ -281,18 +197,6 @@
 	d.claim(r.Duty, now)
 }
 
-func (d *Duties) claim(i int, now time.Duration) {
-	s := &d.all[i]
-	d.claims = append(d.claims, Claim{Duty: uint8(i), Fence: s.fence, Owner: d.self, Turn: s.turn, Ran: max(0, now-s.ran), Free: s.free})
-}
-
-// Claims returns what is to be told to the others.
-func (d *Duties) Claims() []Claim {
-	c := d.claims
-	d.claims = nil
-	return c
-}
-
 // Leave gives up all that the broker owns, as it stops: the next owners take over at once.
 func (d *Duties) Leave(now time.Duration) {
 	for i := range d.all {
--- /dev/null
+++ b/internal/decision/routes/random_test.go
@@ -0,0 +1,145 @@
+package routes
+
+// This file tests arrivals at the other site, and random courses of both.
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"flaxfront/internal/decision/broker"
+)
+
+// The side that serves puts its own searches first, takes a stated share, and runs each once.
+func TestArrive(t *testing.T) {
+	key := func(id uint64) Key { return Key{Origin{"a/n0", 1}, id} }
+	for what, c := range map[string]struct {
+		load Load
+		left time.Duration
+		want Ruling
+	}{
+		"room":                     {Load{Places: 100}, time.Second, Run},
+		"it stops":                 {Load{Places: 100, Stopping: true}, time.Second, Turn},
+		"it lacks a shard":         {Load{Places: 100, Lacking: true}, time.Second, Turn},
+		"its own take the places":  {Load{Places: 100, Taken: 98}, time.Second, Turn},
+		"foreign ones have theirs": {Load{Places: 4}, time.Second, Turn},
+		"too little time":          {Load{Places: 100}, 10 * ms, Turn},
+	} {
+		if got := NewFar(policy).Arrive(key(1), 1, broker.Idempotent, 2, c.left, c.load, 0); got != c.want {
+			t.Errorf("%s: %v", what, got)
+		}
+	}
+	busy := NewFar(policy)
+	busy.Shed(10 * ms)
+	if busy.Arrive(key(1), 1, broker.Idempotent, 2, time.Second, Load{Places: 100}, 500*ms) != Turn ||
+		busy.Arrive(key(1), 1, broker.Idempotent, 2, time.Second, Load{Places: 100}, 600*ms) != Run {
+		t.Error("its own searches do not come first, or for too long")
+	}
+	f := NewFar(policy)
+	roomy := Load{Places: 1000}
+	for id := range uint64(policy.MostRemember) {
+		f.Arrive(key(id), 1, broker.NonIdempotent, 1, time.Second, roomy, 0)
+	}
+	if got := f.Arrive(key(99), 1, broker.NonIdempotent, 1, time.Second, roomy, 0); got != Turn || f.Room(1000) != 0 {
+		t.Errorf("beyond its memory: %v, room %v", got, f.Room(1000))
+	}
+	if !f.Ended(key(3)) || f.Arrive(key(3), 1, broker.NonIdempotent, 1, time.Second, roomy, 0) != Repeat ||
+		f.Arrive(key(4), 1, broker.NonIdempotent, 1, time.Second, roomy, 0) != Join {
+		t.Error("not remembered")
+	}
+	if gone := f.Forget(time.Second); len(gone) != 0 {
+		t.Errorf("forgot %v while its near side may ask", gone)
+	}
+	if gone := f.Forget(time.Second + remember); len(gone) != 1 {
+		t.Errorf("forgot %v", gone)
+	}
+	f.Opened(Origin{"a/n0", 1}, 7)
+	if got := f.Arrive(key(50), 6, broker.NonIdempotent, 1, time.Second, roomy, 0); got != Stale {
+		t.Errorf("over an older link: %v", got)
+	}
+}
+
+// In random courses with many searches and links: each that is offered ends exactly once unless its client left, never
+// later than its client's time, and what links carry adds up.
+func TestRandomTrips(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := near(3)
+		n.policy.Burst, n.tokens, n.policy.MostAbroad = 1e9, 1e9, 1000
+		ends, due, gone := map[uint64]int{}, map[uint64]time.Duration{}, map[uint64]bool{}
+		now, id := 10*ms, uint64(0)
+		where := map[uint64]Peer{}
+		take := func() {
+			for _, a := range n.Acts() {
+				switch a.Kind {
+				case Forward:
+					where[a.ID] = a.Peer
+				case Home, Shed, Fail:
+					ends[a.ID]++
+					if now > due[a.ID] {
+						t.Fatalf("search %d ends at %v, due %v", a.ID, now, due[a.ID])
+					}
+				}
+			}
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = min(n.Tick(now), now+time.Duration(rapid.IntRange(0, 60).Draw(t, "ms"))*ms)
+			n.Tick(now)
+			take()
+			at := Peer(rapid.IntRange(0, 2).Draw(t, "link"))
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0, 1, 2:
+				id++
+				s := Search{ID: id, Effect: broker.Effect(rapid.IntRange(0, 2).Draw(t, "effect")), Window: 300 * ms, Due: now + time.Second}
+				if n.Offer(s, now) {
+					due[id] = s.Due
+				}
+			case 3:
+				if id > 0 {
+					k := 1 + uint64(rapid.IntRange(0, int(id)-1).Draw(t, "id"))
+					if n.Back(where[k], k, Ended(rapid.IntRange(0, 2).Draw(t, "how")), now) {
+						ends[k]++
+					}
+				}
+			case 4:
+				if n.peers[at].up {
+					n.Down(at, nil, now)
+				} else {
+					n.Up(at, uint64(rapid.IntRange(1, 2).Draw(t, "epoch")), 10, now)
+				}
+			case 5:
+				n.Heard(at, Status{Room: rapid.Float64Range(0, 1).Draw(t, "room")}, 20*ms, now)
+			case 6:
+				if id > 0 {
+					k := 1 + uint64(rapid.IntRange(0, int(id)-1).Draw(t, "id"))
+					if n.trips[k] != nil {
+						n.Gone(k)
+						gone[k] = true
+					}
+				}
+			}
+			take()
+			for i := range n.peers {
+				count := 0
+				for _, tr := range n.trips {
+					if tr.stage == out && tr.peer == Peer(i) {
+						count++
+					}
+				}
+				if n.peers[i].up && n.peers[i].abroad != count {
+					t.Fatalf("link %d counts %d abroad, there are %d", i, n.peers[i].abroad, count)
+				}
+			}
+		}
+		for len(n.trips) > 0 {
+			now = n.Tick(now)
+			n.Tick(now)
+			take()
+		}
+		for k := range due {
+			if want := map[bool]int{true: 0, false: 1}[gone[k]]; ends[k] != want {
+				t.Fatalf("search %d ended %d times, its client left %v", k, ends[k], gone[k])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/discovery/nodelist/process_test.go
@@ -0,0 +1,155 @@
+package nodelist
+
+// This file tests directories that are locked or missing, and processes that are killed.
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"flaxfront/internal/decision/trust"
+)
+
+// Two brokers in one directory: the second reads, does not write, and takes over once the first has gone.
+func TestLocked(t *testing.T) {
+	dir := t.TempDir()
+	first, _ := Open(Options{Dir: dir, Deployment: "x"})
+	first.Put(trust.Changes{Put: []trust.Entry{entry(1)}})
+	if err := first.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	second, c := Open(Options{Dir: dir, Deployment: "x"})
+	second.Put(trust.Changes{Put: []trust.Entry{entry(2)}})
+	if err := second.Flush(); !errors.Is(err, errLocked) || second.Held() || len(c.Entries) != 1 {
+		t.Fatalf("%v, %+v", err, c.Entries)
+	}
+	if err := Leave(Disk{}, dir, "x", Ask{Forget: []string{"node-1"}, Import: []trust.Entry{entry(3)}}, time.Unix(5, 0)); err != nil {
+		t.Fatal(err)
+	}
+	os.WriteFile(filepath.Join(dir, asksDir, "6.ask"), []byte("no ask"), 0o600)
+	var got []Ask
+	first.takeAsks(func(a Ask) { got = append(got, a) })
+	first.takeAsks(func(a Ask) { got = append(got, a) })
+	if len(got) != 1 || got[0].Forget[0] != "node-1" || got[0].Import[0] != entry(3) {
+		t.Errorf("asked %+v", got)
+	}
+	first.Close()
+	if err := second.Flush(); err != nil {
+		t.Error(err)
+	}
+	second.Close()
+}
+
+// A directory that can't be made or written stops nothing.
+func TestNoDirectory(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "file")
+	os.WriteFile(file, nil, 0o600)
+	s, c := Open(Options{Dir: filepath.Join(file, "below"), Deployment: "x"})
+	s.Put(trust.Changes{Put: []trust.Entry{entry(1)}})
+	if err := s.Flush(); err == nil || c.Found {
+		t.Errorf("%v, %+v", err, c)
+	}
+	s.Close()
+}
+
+// child writes states until it is killed; each is told on standard output once it is kept.
+func child(dir string) {
+	s, _ := Open(Options{Dir: dir, Deployment: "x", Journal: 2000})
+	for i := range 1 << 20 {
+		e := entry(i % 20)
+		e.Told = trust.Moment(i)
+		s.Put(trust.Changes{Head: trust.Head{Generation: uint64(i)}, Put: []trust.Entry{e}})
+		if s.Flush() != nil {
+			os.Exit(1)
+		}
+		fmt.Println(i)
+	}
+}
+
+// A process killed for real leaves at least what it was told is kept, and the lock is free.
+func TestKilledProcess(t *testing.T) {
+	for round := range 5 {
+		dir := t.TempDir()
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "NODELIST_CHILD="+dir)
+		out, err := cmd.StdoutPipe()
+		if err == nil {
+			err = cmd.Start()
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		told, last := 0, -1
+		for told < 20+30*round {
+			if _, err := fmt.Fscan(out, &last); err != nil {
+				t.Fatal(err)
+			}
+			told++
+		}
+		cmd.Process.Kill()
+		for {
+			if _, err := fmt.Fscan(out, &last); err != nil {
+				break
+			}
+		}
+		cmd.Wait()
+		s, c := Open(Options{Dir: dir, Deployment: "x"})
+		if got := int(c.Head.Generation); got != last && got != last+1 || !s.Held() {
+			t.Errorf("generation %d, told %d, held %v, %v", got, last, s.Held(), c.Faults)
+		}
+		s.Close()
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	m := newMemory(1, 1<<30)
+	s, _ := Open(options(m))
+	play(m, s, rand.New(rand.NewPCG(5, 5)), nil, 3)
+	f.Add(m.files[filepath.Join("d", snapName(1))].data, m.files[filepath.Join("d", logName(1))].data)
+	f.Fuzz(func(t *testing.T, snap, log []byte) {
+		m := newMemory(1, 1<<30)
+		m.files[filepath.Join("d", snapName(1))] = &memFile{data: snap}
+		m.files[filepath.Join("d", logName(1))] = &memFile{data: log}
+		c, _ := Read(m, "d", "")
+		for name, e := range c.Entries {
+			if name != e.Name || name == "" || e.Cell < 0 || e.State > trust.Ended {
+				t.Errorf("read %+v", e)
+			}
+		}
+	})
+}
+
+func many(n int) (c trust.Changes) {
+	for i := range n {
+		e := entry(i % 250)
+		e.Name = fmt.Sprintf("node-%08x", i)
+		c.Put = append(c.Put, e)
+	}
+	return c
+}
+
+func BenchmarkLoad(b *testing.B) {
+	for _, n := range []int{16, 1000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			dir := b.TempDir()
+			s, _ := Open(Options{Dir: dir, Deployment: "x"})
+			s.Put(many(n))
+			if err := s.Flush(); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if c, err := Read(Disk{}, dir, "x"); err != nil || len(c.Entries) != n {
+					b.Fatal(err, len(c.Entries))
+				}
+			}
+			b.ReportMetric(float64(s.snapped), "bytes")
+			s.Close()
+		})
+	}
+}
--- a/internal/protocols/back/back.go
+++ b/internal/protocols/back/back.go
@@ -18,7 +18,6 @@
 	"io"
 	"net"
 	"net/netip"
-	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -26,9 +25,7 @@
 	"time"
 
 	"flaxfront/internal/protocols/catalogue"
-	"flaxfront/internal/protocols/sru"
 	"flaxfront/internal/protocols/z3950"
-	"flaxfront/internal/transport/httpwire"
 	"flaxfront/internal/transport/store"
 )
 
@@ -126,8 +123,10 @@
 }
 
 // The pool never reads here: answers come by handle.
-func (c *conn) Read([]byte) (int, error)        { return 0, io.EOF }
-func (c *conn) Close() error                    { return nil }
+func (c *conn) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c *conn) Close() error { return nil }
+
 func (c *conn) SetReadDeadline(time.Time) error { return nil }
 
 // run is a connection's life: it comes up, then does one part after the other, each within the time that is waited for it.
@@ -228,115 +227,3 @@
 	}
 	return answer, err
 }
-
-// oids of syntaxes by the short names of statements.
-var oids = map[string]string{"marc21": z3950.MARC21, "marcxml": z3950.XML, "dc": z3950.XML, "mods": z3950.XML, "text": z3950.SUTRS}
-
-// busy are diagnostics of Bib-1 that say to come back: it was turned away.
-var busy = map[int]bool{2: true, 31: true, 1: false}
-
-func (c *conn) z3950(p *part, w *catalogue.Want, database string) (store.End, string, error) {
-	syntax := oids[w.Syntax]
-	c.n++
-	ref := []byte(strconv.Itoa(c.n))
-	m, err := c.say(&z3950.SearchRequest{Common: z3950.Common{Reference: ref}, Large: 1, Replace: true, ResultSet: resultSet,
-		Databases: []string{database}, Syntax: syntax, Query: w.Query})
-	if err != nil {
-		return 0, "", err
-	}
-	r, is := m.(*z3950.SearchResponse)
-	if !is || !bytes.Equal(r.Reference, ref) {
-		return 0, "", fmt.Errorf("%w: an answer to nothing that was asked", errProtocol)
-	}
-	if !r.OK {
-		if r.Records.Fault != nil && busy[r.Records.Fault.Code] && r.SetStatus != z3950.Subset {
-			return store.Skipped, "", nil
-		}
-		return store.Broke, "", nil // a subset is no answer of a node: its part would pass for whole
-	}
-	if r.Count < 0 {
-		return 0, "", fmt.Errorf("%w: %d records", errProtocol, r.Count)
-	}
-	var records [][]byte
-	size := 0
-	for want := min(w.Depth, r.Count); len(records) < want; {
-		c.n++
-		ref := []byte(strconv.Itoa(c.n))
-		m, err := c.say(&z3950.PresentRequest{Common: z3950.Common{Reference: ref}, ResultSet: resultSet, Start: len(records) + 1,
-			Want: want - len(records), Elements: "F", Syntax: syntax})
-		if err != nil {
-			return 0, "", err
-		}
-		page, is := m.(*z3950.PresentResponse)
-		if !is || !bytes.Equal(page.Reference, ref) || len(page.Records.All) > want-len(records) {
-			return 0, "", fmt.Errorf("%w: a page of nothing that was asked", errProtocol)
-		}
-		if page.Records.Fault != nil || len(page.Records.All) == 0 {
-			return store.Broke, "", nil
-		}
-		for i := range page.Records.All {
-			one := &page.Records.All[i]
-			if one.Fault != nil {
-				return store.Broke, "", nil
-			}
-			if size += len(one.Body) + 16; size > mostValue {
-				return store.Served, catalogue.Value(r.Count, records), nil // as far as an answer holds
-			}
-			records = append(records, one.Body)
-		}
-	}
-	return store.Served, catalogue.Value(r.Count, records), nil
-}
-
-// mostValue bounds the records of one part's answer.
-const mostValue = 48 << 10
-
-// names of schemas that SRU servers are asked for.
-var schemas = map[string]string{"dc": "dc", "marcxml": "marcxml", "mods": "mods", "marc21": "marcxml", "text": "dc"}
-
-func (c *conn) sru(w *catalogue.Want, database string) (store.End, string, error) {
-	q, err := w.Query.Query()
-	if err != nil {
-		return store.Broke, "", nil // it can't be said in CQL
-	}
-	target := "/" + url.PathEscape(database) + "?" + url.Values{"operation": {"searchRetrieve"}, "version": {"1.2"}, "query": {q.CQL()}, "startRecord": {"1"},
-		"maximumRecords": {strconv.Itoa(w.Depth)}, "recordSchema": {schemas[w.Syntax]}, "recordPacking": {"xml"}}.Encode()
-	if _, err := c.nc.Write(httpwire.AppendRequest(nil, "GET", target, c.addr.String())); err != nil {
-		return 0, "", err
-	}
-	m, err := httpwire.ReadResponse(c.in)
-	if err != nil {
-		return 0, "", err
-	}
-	switch {
-	case m.Status == 429 || m.Status == 503:
-		return store.Skipped, "", nil
-	case m.Status != 200:
-		return store.Broke, "", nil
-	}
-	r, err := sru.ParseResponse(m.Body)
-	if err != nil {
-		return 0, "", fmt.Errorf("%w: %w", errProtocol, err)
-	}
-	if len(r.Diagnostics) > 0 { // of a partial answer as well: its part would pass for whole
-		if r.Diagnostics[0].Code == 2 {
-			return store.Skipped, "", nil
-		}
-		return store.Broke, "", nil
-	}
-	if len(r.Records) > w.Depth || len(r.Records) > r.Count {
-		return 0, "", fmt.Errorf("%w: %d records of %d, %d were asked for", errProtocol, len(r.Records), r.Count, w.Depth)
-	}
-	var records [][]byte
-	size := 0
-	for i := range r.Records {
-		if r.Records[i].Fault != nil {
-			return store.Broke, "", nil
-		}
-		if size += len(r.Records[i].Body) + 16; size > mostValue {
-			break
-		}
-		records = append(records, r.Records[i].Body)
-	}
-	return store.Served, catalogue.Value(r.Count, records), nil
-}
--- /dev/null
+++ b/internal/protocols/ber/element.go
@@ -0,0 +1,98 @@
+package ber
+
+// This file owns what one element holds: further elements, numbers, strings, identifiers.
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Each visits the elements of a constructed one, until one fails.
+func (e *Element) Each(visit func(*Element) error) error {
+	if !e.Constructed {
+		return fmt.Errorf("%w: tag %d should hold others", ErrForm, e.Tag)
+	}
+	for rest := e.Body; len(rest) > 0; {
+		var one Element
+		var err error
+		if one, rest, err = Next(rest); err != nil {
+			return err
+		}
+		if err = visit(&one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Int is the value of an integer.
+func (e *Element) Int() (n int, err error) {
+	if e.Constructed || len(e.Body) == 0 || len(e.Body) > 8 {
+		return 0, fmt.Errorf("%w: an integer of %d bytes", ErrForm, len(e.Body))
+	}
+	n = int(int8(e.Body[0]))
+	for _, c := range e.Body[1:] {
+		n = n<<8 | int(c)
+	}
+	return n, nil
+}
+
+// Bool is the value of a boolean.
+func (e *Element) Bool() (bool, error) {
+	if e.Constructed || len(e.Body) != 1 {
+		return false, fmt.Errorf("%w: a boolean of %d bytes", ErrForm, len(e.Body))
+	}
+	return e.Body[0] != 0, nil
+}
+
+// Bytes is the value of a string, whole or in pieces.
+func (e *Element) Bytes() ([]byte, error) { return e.bytes(0) }
+
+func (e *Element) bytes(depth int) (all []byte, err error) {
+	if !e.Constructed {
+		return e.Body, nil
+	}
+	if depth > MaxDepth {
+		return nil, fmt.Errorf("%w: a string in too many pieces", ErrForm)
+	}
+	err = e.Each(func(piece *Element) error {
+		b, err := piece.bytes(depth + 1)
+		all = append(all, b...)
+		return err
+	})
+	return all, err
+}
+
+// Bit tells whether a bit of a bit string is set, counted from the left.
+func (e *Element) Bit(n int) bool {
+	return !e.Constructed && len(e.Body) > 1+n/8 && e.Body[1+n/8]&(0x80>>(n%8)) != 0
+}
+
+// OID is the value of an object identifier, with dots.
+func (e *Element) OID() (string, error) {
+	if e.Constructed || len(e.Body) == 0 || len(e.Body) > 64 {
+		return "", fmt.Errorf("%w: an object identifier of %d bytes", ErrForm, len(e.Body))
+	}
+	var b strings.Builder
+	n, first := uint64(0), true
+	for i, c := range e.Body {
+		if n > 1<<50 || n == 0 && c == 0x80 {
+			return "", fmt.Errorf("%w: object identifier", ErrForm)
+		}
+		if n = n<<7 | uint64(c&0x7f); c&0x80 != 0 {
+			if i == len(e.Body)-1 {
+				return "", fmt.Errorf("%w: object identifier", ErrForm)
+			}
+			continue
+		}
+		if first {
+			top := min(n/40, 2)
+			fmt.Fprintf(&b, "%d.%d", top, n-40*top)
+			first = false
+		} else {
+			fmt.Fprintf(&b, ".%d", n)
+		}
+		n = 0
+	}
+	return b.String(), nil
+}
--- /dev/null
+++ b/internal/protocols/ber/write.go
@@ -0,0 +1,156 @@
+package ber
+
+// This file owns the writing of elements.
+
+import (
+	"strconv"
+	"strings"
+)
+
+// AppendElement writes an element with a body that is there already.
+func AppendElement(b []byte, class Class, tag uint32, constructed bool, body []byte) []byte {
+	first := byte(class) << 6
+	if constructed {
+		first |= 0x20
+	}
+	if tag < 0x1f {
+		b = append(b, first|byte(tag))
+	} else {
+		b = append(b, first|0x1f)
+		started := false
+		for shift := 28; shift >= 0; shift -= 7 {
+			c := byte(tag>>shift) & 0x7f
+			if started = started || c != 0 || shift == 0; !started {
+				continue
+			}
+			if shift > 0 {
+				c |= 0x80
+			}
+			b = append(b, c)
+		}
+	}
+	return append(appendLength(b, len(body)), body...)
+}
+
+func appendLength(b []byte, n int) []byte {
+	switch {
+	case n < 0x80:
+		return append(b, byte(n))
+	case n < 1<<8:
+		return append(b, 0x81, byte(n))
+	case n < 1<<16:
+		return append(b, 0x82, byte(n>>8), byte(n))
+	case n < 1<<24:
+		return append(b, 0x83, byte(n>>16), byte(n>>8), byte(n))
+	default:
+		return append(b, 0x84, byte(n>>24), byte(n>>16), byte(n>>8), byte(n))
+	}
+}
+
+// Writer builds one constructed element.
+type Writer struct{ b []byte }
+
+// Bytes are what was written.
+func (w *Writer) Bytes() []byte { return w.b }
+
+// Raw adds elements that are encoded already.
+func (w *Writer) Raw(b []byte) { w.b = append(w.b, b...) }
+
+// Int adds an integer under a tag of the context class.
+func (w *Writer) Int(tag uint32, n int) { w.b = AppendElement(w.b, Context, tag, false, intBody(n)) }
+
+// UniversalInt adds an integer under its own tag.
+func (w *Writer) UniversalInt(n int) {
+	w.b = AppendElement(w.b, Universal, TagInteger, false, intBody(n))
+}
+
+func intBody(n int) []byte {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(n >> (56 - 8*i))
+	}
+	at := 0
+	for at < 7 && (b[at] == 0 && b[at+1] < 0x80 || b[at] == 0xff && b[at+1] >= 0x80) {
+		at++
+	}
+	return b[at:]
+}
+
+// Bool adds a boolean.
+func (w *Writer) Bool(tag uint32, yes bool) {
+	body := []byte{0}
+	if yes {
+		body[0] = 0xff
+	}
+	w.b = AppendElement(w.b, Context, tag, false, body)
+}
+
+// Text adds a string of bytes.
+func (w *Writer) Text(tag uint32, text string) {
+	w.b = AppendElement(w.b, Context, tag, false, []byte(text))
+}
+
+// Universal adds a primitive under a universal tag.
+func (w *Writer) Universal(tag uint32, body []byte) {
+	w.b = AppendElement(w.b, Universal, tag, false, body)
+}
+
+// Bits adds a bit string in which some bits are set.
+func (w *Writer) Bits(tag uint32, set ...int) {
+	body := []byte{0}
+	for _, n := range set {
+		for len(body) < 2+n/8 {
+			body = append(body, 0)
+		}
+		body[1+n/8] |= 0x80 >> (n % 8)
+	}
+	w.b = AppendElement(w.b, Context, tag, false, body)
+}
+
+// Within adds a constructed element.
+func (w *Writer) Within(class Class, tag uint32, fill func(*Writer)) {
+	var inner Writer
+	fill(&inner)
+	w.b = AppendElement(w.b, class, tag, true, inner.b)
+}
+
+// OIDBody encodes an object identifier; false: it is none.
+func OIDBody(dots string) (b []byte, ok bool) {
+	parts := strings.Split(dots, ".")
+	if len(parts) < 2 || len(parts) > 32 {
+		return nil, false
+	}
+	var n []uint64
+	for _, p := range parts {
+		v, err := strconv.ParseUint(p, 10, 32)
+		if err != nil {
+			return nil, false
+		}
+		n = append(n, v)
+	}
+	if n[0] > 2 || n[0] < 2 && n[1] > 39 {
+		return nil, false
+	}
+	n[1] += 40 * n[0]
+	for _, v := range n[1:] {
+		var piece [10]byte
+		at := len(piece) - 1
+		piece[at] = byte(v & 0x7f)
+		for v >>= 7; v > 0; v >>= 7 {
+			at--
+			piece[at] = byte(v&0x7f) | 0x80
+		}
+		b = append(b, piece[at:]...)
+	}
+	return b, true
+}
+
+// OID adds an object identifier under a tag of the context class, or its own where the tag is negative.
+func (w *Writer) OID(tag int, dots string) {
+	body, _ := OIDBody(dots)
+	if tag < 0 {
+		w.Universal(TagOID, body)
+		return
+	}
+	w.b = AppendElement(w.b, Context, uint32(tag), false, body)
+}
--- a/internal/protocols/front/sru/front_test.go
+++ b/internal/protocols/front/sru/front_test.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"encoding/xml"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/cookiejar"
-	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -186,93 +183,3 @@
 		resp.Body.Close()
 	}
 }
-
-// A record that would break out of its place is not passed on as elements; as text it is what it was.
-func TestSpoiltRecords(t *testing.T) {
-	b := archive.New(archive.DC)
-	bad := []string{`</recordData><evil/>`, `<a>`, `<!DOCTYPE a [<!ENTITY x "y">]><a>&x;</a>`, `<a/><b/>`, `text`, strings.Repeat("<a>", 100) + strings.Repeat("</a>", 100)}
-	b.Store[0] = bad
-	f := started(t, b)
-	a, _ := get(t, f, "query=cat&maximumRecords=7")
-	for i, r := range a.Records[:len(bad)] {
-		if r.Schema != "info:srw/schema/1/diagnostics-v1.1" || !strings.Contains(r.Data.Inner, "info:srw/diagnostic/1/67") {
-			t.Errorf("%.40s went out as %+v", bad[i], r)
-		}
-	}
-	if r := a.Records[len(bad)]; !strings.Contains(r.Data.Inner, "record 0 of shard 1") {
-		t.Errorf("%+v", r)
-	}
-	a, _ = get(t, f, "query=cat&recordXMLEscaping=string&maximumRecords=6")
-	for i, r := range a.Records {
-		if r.Data.Text != bad[i] {
-			t.Errorf("%q became %q", bad[i], r.Data.Text)
-		}
-	}
-}
-
-// A client that goes away takes its search along; a stop answers what is in hand and takes nothing more.
-func TestLeaveAndDrain(t *testing.T) {
-	b := archive.New(archive.DC)
-	f := started(t, b)
-	hold := make(chan struct{})
-	b.Set(func(b *archive.Broker) { b.Hold = hold })
-	ctx, cancel := context.WithCancel(context.Background())
-	req, _ := http.NewRequestWithContext(ctx, "GET", "http://"+f.Addr().String()+"/?query=a", nil)
-	go http.DefaultClient.Do(req)
-	for b.Asked() == 0 {
-		time.Sleep(time.Millisecond)
-	}
-	cancel()
-	if err := <-b.Left; !errors.Is(err, context.Canceled) {
-		t.Error(err)
-	}
-	got := make(chan answer)
-	go func() {
-		a, _ := get(t, f, "query=a")
-		got <- a
-	}()
-	for b.Asked() == 1 {
-		time.Sleep(time.Millisecond)
-	}
-	f.Drain()
-	time.Sleep(20 * time.Millisecond)
-	close(hold)
-	if a := <-got; a.Count != 30 {
-		t.Errorf("%+v", a)
-	}
-	if c, err := net.Dial("tcp", f.Addr().String()); err == nil {
-		c.SetReadDeadline(time.Now().Add(time.Second))
-		if _, err := c.Read(make([]byte, 1)); err == nil {
-			t.Error("a client was taken after the drain")
-		}
-		c.Close()
-	}
-}
-
-// Forms may be sent as well.
-func TestPost(t *testing.T) {
-	f := started(t, archive.New(archive.DC))
-	resp, err := http.PostForm("http://"+f.Addr().String()+"/catalogue", url.Values{"query": {"cat"}, "maximumRecords": {"1"}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	var a answer
-	if err := xml.NewDecoder(resp.Body).Decode(&a); err != nil || a.Count != 30 || len(a.Records) != 1 {
-		t.Errorf("%+v, %v", a, err)
-	}
-}
-
-// A search with four records over a connection that stands, over a broker that answers at once: the front's own cost.
-func BenchmarkSearch(b *testing.B) {
-	f := started(b, archive.New(archive.DC))
-	b.ReportAllocs()
-	for b.Loop() {
-		resp, err := http.Get("http://" + f.Addr().String() + "/?query=dc.title+%3D+cat+and+dc.creator+%3D+smith&maximumRecords=4")
-		if err != nil {
-			b.Fatal(err)
-		}
-		io.Copy(io.Discard, resp.Body)
-		resp.Body.Close()
-	}
-}
--- /dev/null
+++ b/internal/protocols/front/z3950/session.go
@@ -0,0 +1,112 @@
+package z3950
+
+// This file owns the course of one session: reading, answering, its end. It must never outlive its connection.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"flaxfront/internal/protocols/z3950"
+)
+
+// converse is a session's life: init, then one operation after the other. Clients that send several at once get their answers in
+// order, each with its own reference.
+func (s *session) converse(ctx context.Context) (reason string) {
+	for {
+		within := s.f.o.Idle
+		if s.ops == 0 {
+			within = initWithin
+		}
+		s.SetReadDeadline(time.Now().Add(within))
+		if s.turn(false) {
+			s.write(&z3950.Close{Reason: 1, Text: "the broker stops"})
+			return "drained"
+		}
+		_, err := s.in.Peek(1)
+		if err == nil && s.ops > 0 {
+			s.SetReadDeadline(time.Now().Add(wholeWithin))
+		}
+		var m z3950.Message
+		if err == nil {
+			m, err = z3950.Read(s.in)
+		}
+		ending := s.turn(true)
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && ending:
+			s.write(&z3950.Close{Reason: 1, Text: "the broker stops"})
+			return "drained"
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			s.write(&z3950.Close{Reason: 7, Text: "nothing whole came in time"})
+			return "idle"
+		case errors.Is(err, io.EOF):
+			return "client_closed"
+		case errors.Is(err, z3950.ErrProtocol):
+			s.write(&z3950.Close{Reason: 6, Text: text(err)})
+			return "bad_message"
+		case err != nil:
+			return "client_reset"
+		}
+		var answer z3950.Message
+		_, opens := m.(*z3950.InitRequest)
+		switch {
+		case opens != (s.ops == 0):
+			s.write(&z3950.Close{Reason: 6, Text: "init comes first, and once"})
+			return "bad_message"
+		default:
+			if answer, err = s.operate(ctx, m); err != nil {
+				return "client_left"
+			}
+		}
+		s.ops++
+		if answer == nil {
+			return "closed"
+		}
+		if err := s.write(answer); err != nil {
+			return "write_failed"
+		}
+		if x, is := answer.(*z3950.Close); is {
+			return fmt.Sprintf("closed_%d", x.Reason)
+		}
+		if x, is := answer.(*z3950.InitResponse); is && !x.Accepted {
+			return "not_accepted"
+		}
+	}
+}
+
+func text(err error) string {
+	t := err.Error()
+	return t[:min(len(t), 200)]
+}
+
+func (s *session) write(m z3950.Message) error {
+	s.SetWriteDeadline(time.Now().Add(writeWithin))
+	_, err := s.Write(z3950.Encode(m))
+	return err
+}
+
+// operate answers one message; nil: the session is over.
+func (s *session) operate(ctx context.Context, m z3950.Message) (z3950.Message, error) {
+	switch m := m.(type) {
+	case *z3950.InitRequest:
+		s.most, s.record = clamp(m.Preferred), clamp(m.Most)
+		return &z3950.InitResponse{InitRequest: z3950.InitRequest{Common: m.Common, Version3: m.Version3, Search: true, Present: true,
+			Delete: m.Delete, NamedResultSets: m.NamedResultSets, Preferred: s.most, Most: s.record, ID: "flaxfront", Name: "flaxfront"},
+			Accepted: true}, nil
+	case *z3950.SearchRequest:
+		return s.search(ctx, m)
+	case *z3950.PresentRequest:
+		return s.present(ctx, m)
+	case *z3950.DeleteRequest:
+		return s.remove(m), nil
+	case *z3950.Close:
+		s.write(&z3950.Close{Common: m.Common})
+		return nil, nil
+	}
+	return &z3950.Close{Reason: 6, Text: "a client asks, it does not answer"}, nil
+}
+
+func clamp(n int) int { return max(leastBytes, min(n, z3950.MaxPDU)) }
--- a/internal/protocols/query/cql.go
+++ b/internal/protocols/query/cql.go
@@ -3,26 +3,10 @@
 // This file owns CQL: reading and printing. It must never let through what the grammar does not allow.
 
 import (
-	"slices"
 	"strings"
 	"unicode/utf8"
 )
 
-type tokenKind uint8
-
-const (
-	end    tokenKind = iota
-	word             // letters that need no quotes
-	quoted           // what stood between quotes, escapes kept but for \"
-	symbol           // ( ) / or a comparison
-)
-
-type token struct {
-	kind tokenKind
-	text string
-	at   int
-}
-
 type cql struct {
 	text  string
 	at    int
@@ -71,59 +55,6 @@
 	p.at = len(p.text)
 }
 
-func plain(c byte) bool {
-	return !strings.ContainsRune(" \t\r\n()=<>\"/", rune(c))
-}
-
-// next reads a token.
-func (p *cql) next() {
-	for p.at < len(p.text) && strings.IndexByte(" \t\r\n", p.text[p.at]) >= 0 {
-		p.at++
-	}
-	p.tok = token{at: p.at}
-	if p.at == len(p.text) {
-		return
-	}
-	from := p.at
-	switch c := p.text[p.at]; {
-	case c == '"':
-		var b strings.Builder
-		for p.at++; ; p.at++ {
-			if p.at >= len(p.text) {
-				p.tok.at = from
-				p.fail(syntax, "a quote is not closed")
-				return
-			}
-			if p.text[p.at] == '"' {
-				p.at++
-				p.tok = token{quoted, b.String(), from}
-				return
-			}
-			if p.text[p.at] == '\\' && p.at+1 < len(p.text) {
-				if p.text[p.at+1] != '"' { // others mean something to the term: \* is no mask
-					b.WriteByte('\\')
-				}
-				p.at++
-			}
-			b.WriteByte(p.text[p.at])
-		}
-	case strings.IndexByte("()/", c) >= 0:
-		p.at++
-		p.tok = token{symbol, string(c), from}
-	case strings.IndexByte("=<>", c) >= 0:
-		p.at++
-		if p.at < len(p.text) && slices.Contains([]string{"==", "<=", ">=", "<>"}, p.text[from:p.at+1]) {
-			p.at++
-		}
-		p.tok = token{symbol, p.text[from:p.at], from}
-	default:
-		for p.at < len(p.text) && plain(p.text[p.at]) {
-			p.at++
-		}
-		p.tok = token{word, p.text[from:p.at], from}
-	}
-}
-
 func (p *cql) is(sym string) bool { return p.tok.kind == symbol && p.tok.text == sym }
 
 func (p *cql) keyword(name string) bool { return p.tok.kind == word && equalFold(p.tok.text, name) }
@@ -271,100 +202,3 @@
 	}
 	return all
 }
-
-// CQL prints a query so that ParseCQL reads the same one.
-func (q *Query) CQL() string {
-	var b strings.Builder
-	for _, x := range q.Prefixes {
-		b.WriteString("> ")
-		if x.Name != "" {
-			quote(&b, x.Name)
-			b.WriteString(" = ")
-		}
-		quote(&b, x.URI)
-		b.WriteByte(' ')
-	}
-	q.Root.cql(&b, false)
-	if len(q.Sort) > 0 {
-		b.WriteString(" sortby")
-		for _, k := range q.Sort {
-			b.WriteByte(' ')
-			quote(&b, k.Index)
-			modify(&b, k.Modifiers)
-		}
-	}
-	return b.String()
-}
-
-func (n *Node) cql(b *strings.Builder, right bool) {
-	switch {
-	case n.IsClause() && n.ResultSet != "":
-		b.WriteString("cql.resultSetId = ")
-		quote(b, n.ResultSet)
-	case n.IsClause():
-		if n.Index != "" || n.Relation != "" {
-			index, relation := n.Index, n.Relation
-			if index == "" {
-				index = "cql.serverChoice"
-			}
-			if relation == "" {
-				relation = "="
-			}
-			quote(b, index)
-			b.WriteString(" " + relation)
-			modify(b, n.Modifiers)
-			b.WriteByte(' ')
-		}
-		quote(b, n.Term)
-	default:
-		if right {
-			b.WriteByte('(')
-		}
-		n.Left.cql(b, false)
-		b.WriteString(" " + n.Op.String())
-		modify(b, n.Modifiers)
-		b.WriteByte(' ')
-		n.Right.cql(b, true)
-		if right {
-			b.WriteByte(')')
-		}
-	}
-}
-
-func modify(b *strings.Builder, all []Modifier) {
-	for _, m := range all {
-		b.WriteString(" /")
-		quote(b, m.Name)
-		if m.Comparison != "" {
-			b.WriteString(" " + m.Comparison + " ")
-			quote(b, m.Value)
-		}
-	}
-}
-
-// quote writes a word, in quotes where it needs them.
-func quote(b *strings.Builder, text string) {
-	bare := text != ""
-	for i := range len(text) {
-		bare = bare && plain(text[i])
-	}
-	for _, k := range []string{"and", "or", "not", "prox", "sortby"} {
-		bare = bare && !equalFold(text, k)
-	}
-	if bare {
-		b.WriteString(text)
-		return
-	}
-	b.WriteByte('"')
-	for i := 0; i < len(text); i++ {
-		if text[i] == '"' {
-			b.WriteByte('\\')
-		}
-		b.WriteByte(text[i])
-		if text[i] == '\\' && i+1 < len(text) { // an escape goes as a pair
-			i++
-			b.WriteByte(text[i])
-		}
-	}
-	b.WriteByte('"')
-}
--- /dev/null
+++ b/internal/protocols/simwire/decode.go
@@ -0,0 +1,64 @@
+package simwire
+
+// This file owns the reading of what records hold. It must never let through what it could not read.
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"flaxfront/internal/decision/broker"
+)
+
+// slice finds a field's bytes in the tail; its length counts items of the given size.
+func slice(tail, field []byte, item uint64) ([]byte, error) {
+	from, size := uint64(be.Uint32(field)), uint64(be.Uint32(field[4:]))*item
+	if from > uint64(len(tail)) || size > uint64(len(tail))-from {
+		return nil, fmt.Errorf("offset %d with %d bytes lies outside the tail of %d", from, size, len(tail))
+	}
+	return tail[from : from+size], nil
+}
+
+func (h *Host) manifest(r, tail []byte) error {
+	sheet := r[1]
+	if int(sheet) >= len(h.sheets) {
+		return fmt.Errorf("message Manifest: sheet %d out of range", sheet)
+	}
+	entries, err := slice(tail, r[2:], entrySize)
+	if err != nil {
+		return fmt.Errorf("message Manifest: %w", err)
+	}
+	h.sheets[sheet], h.held[sheet] = append(h.sheets[sheet][:0], entries...), true
+	return nil
+}
+
+func node(b []byte) broker.NodeID {
+	return broker.NodeID{Addr: [4]byte(b), Port: be.Uint16(b[4:])}
+}
+
+func span(v uint64) time.Duration { return time.Duration(min(v, math.MaxInt64/4)) }
+
+func float(b []byte) float32 { return math.Float32frombits(be.Uint32(b)) }
+
+func decodeEntries(raw []byte, start uint64) ([]broker.Entry, error) {
+	out := make([]broker.Entry, 0, len(raw)/entrySize)
+	for ; len(raw) > 0; raw = raw[entrySize:] {
+		e := broker.Entry{Node: node(raw), Cell: int(be.Uint16(raw[9:])), Zone: int(be.Uint16(raw[6:])),
+			Boot: broker.NoBoot}
+		switch raw[11] {
+		case 0:
+			e.State = broker.Draining
+		case 1:
+			e.State = broker.Gone
+		case 2:
+			e.State = broker.Ready
+		default:
+			return nil, fmt.Errorf("message Endpoints: entry %d: unknown mode %d", len(out), raw[11])
+		}
+		if boot := be.Uint64(raw[16:]); boot != 0 {
+			e.Boot = time.Duration(boot - start) // wraps to a negative span for an earlier boot
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/protocols/simwire/encode.go
@@ -0,0 +1,97 @@
+package simwire
+
+// This file owns the writing of records to the simulator.
+
+import (
+	"bufio"
+	"math"
+	"time"
+
+	"flaxfront/internal/decision/broker"
+)
+
+func (h *Host) reply(clock uint64, w *bufio.Writer) error {
+	h.records, h.tail = h.records[:0], h.tail[:0]
+	for _, b := range h.touched {
+		b.touched = false
+		if b.module == nil {
+			continue
+		}
+		h.actions = b.module.Turn(time.Duration(clock-b.start), b.events, h.actions[:0])
+		clear(b.events)
+		b.events = b.events[:0]
+		if len(h.actions) == 0 {
+			continue
+		}
+		be.PutUint16(h.record(acOnBehalf)[1:], b.number)
+		for i := range h.actions {
+			h.encode(b, &h.actions[i])
+		}
+	}
+	h.touched = h.touched[:0]
+	var head [8]byte
+	be.PutUint32(head[0:], uint32(len(h.records)/actionSize))
+	be.PutUint32(head[4:], uint32(len(h.records)+len(h.tail)))
+	w.Write(head[:])
+	w.Write(h.records)
+	w.Write(h.tail)
+	return w.Flush()
+}
+
+func (h *Host) record(code byte) []byte {
+	n := len(h.records)
+	h.records = append(h.records, make([]byte, actionSize)...)
+	h.records[n] = code
+	return h.records[n:]
+}
+
+func (h *Host) encode(b *instance, a *broker.Action) {
+	switch a.Kind {
+	case broker.Send:
+		r := h.record(acSend)
+		be.PutUint64(r[1:], a.ID)
+		copy(r[17:], a.Node.Addr[:])
+		be.PutUint16(r[21:], a.Node.Port)
+	case broker.Shed:
+		r := h.record(acShed)
+		be.PutUint64(r[1:], a.ID)
+		be.PutUint64(r[9:], uint64(max(0, a.After)))
+	case broker.Fail:
+		be.PutUint64(h.record(acFailure)[1:], a.ID)
+	case broker.Answer:
+		r := h.record(acRespond)
+		be.PutUint64(r[1:], a.ID)
+		if a.Whole {
+			r[9] = 1
+		}
+	case broker.Cancel:
+		r := h.record(acAbandon)
+		be.PutUint64(r[1:], a.ID)
+		be.PutUint16(r[9:], a.Attempt)
+	case broker.Wake:
+		be.PutUint64(h.record(acTimer)[1:], b.start+uint64(max(0, a.At)))
+	case broker.Probe:
+		r := h.record(acProbe)
+		copy(r[1:], a.Node.Addr[:])
+		be.PutUint16(r[5:], a.Node.Port)
+	case broker.Close:
+		r := h.record(acLetGo)
+		copy(r[1:], a.Node.Addr[:])
+		be.PutUint16(r[5:], a.Node.Port)
+	case broker.Subscribe:
+		h.record(acKeepInformed)[1] = 1
+	case broker.Log:
+		h.text(h.record(acEmit)[1:], a.Text)
+	case broker.Tell:
+		r := h.record(acTell)
+		be.PutUint32(r[1:], math.MaxUint32) // every peer
+		h.text(r[5:], a.Text)
+	}
+}
+
+// text puts a field's bytes in the tail.
+func (h *Host) text(field []byte, s string) {
+	be.PutUint32(field, uint32(len(h.tail)))
+	be.PutUint32(field[4:], uint32(len(s)))
+	h.tail = append(h.tail, s...)
+}
--- a/internal/protocols/simwire/host.go
+++ b/internal/protocols/simwire/host.go
@@ -11,8 +11,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
-	"time"
 
 	"flaxfront/internal/config/terms"
 	"flaxfront/internal/decision/broker"
@@ -156,32 +154,6 @@
 	return b, nil
 }
 
-// slice finds a field's bytes in the tail; its length counts items of the given size.
-func slice(tail, field []byte, item uint64) ([]byte, error) {
-	from, size := uint64(be.Uint32(field)), uint64(be.Uint32(field[4:]))*item
-	if from > uint64(len(tail)) || size > uint64(len(tail))-from {
-		return nil, fmt.Errorf("offset %d with %d bytes lies outside the tail of %d", from, size, len(tail))
-	}
-	return tail[from : from+size], nil
-}
-
-func (h *Host) manifest(r, tail []byte) error {
-	sheet := r[1]
-	if int(sheet) >= len(h.sheets) {
-		return fmt.Errorf("message Manifest: sheet %d out of range", sheet)
-	}
-	entries, err := slice(tail, r[2:], entrySize)
-	if err != nil {
-		return fmt.Errorf("message Manifest: %w", err)
-	}
-	h.sheets[sheet], h.held[sheet] = append(h.sheets[sheet][:0], entries...), true
-	return nil
-}
-
-func node(b []byte) broker.NodeID {
-	return broker.NodeID{Addr: [4]byte(b), Port: be.Uint16(b[4:])}
-}
-
 func (h *Host) event(b *instance, r, tail []byte) error {
 	var e broker.Event
 	switch r[0] {
@@ -248,116 +220,3 @@
 	b.events = append(b.events, e)
 	return nil
 }
-
-func span(v uint64) time.Duration { return time.Duration(min(v, math.MaxInt64/4)) }
-
-func float(b []byte) float32 { return math.Float32frombits(be.Uint32(b)) }
-
-func decodeEntries(raw []byte, start uint64) ([]broker.Entry, error) {
-	out := make([]broker.Entry, 0, len(raw)/entrySize)
-	for ; len(raw) > 0; raw = raw[entrySize:] {
-		e := broker.Entry{Node: node(raw), Cell: int(be.Uint16(raw[9:])), Zone: int(be.Uint16(raw[6:])),
-			Boot: broker.NoBoot}
-		switch raw[11] {
-		case 0:
-			e.State = broker.Draining
-		case 1:
-			e.State = broker.Gone
-		case 2:
-			e.State = broker.Ready
-		default:
-			return nil, fmt.Errorf("message Endpoints: entry %d: unknown mode %d", len(out), raw[11])
-		}
-		if boot := be.Uint64(raw[16:]); boot != 0 {
-			e.Boot = time.Duration(boot - start) // wraps to a negative span for an earlier boot
-		}
-		out = append(out, e)
-	}
-	return out, nil
-}
-
-func (h *Host) reply(clock uint64, w *bufio.Writer) error {
-	h.records, h.tail = h.records[:0], h.tail[:0]
-	for _, b := range h.touched {
-		b.touched = false
-		if b.module == nil {
-			continue
-		}
-		h.actions = b.module.Turn(time.Duration(clock-b.start), b.events, h.actions[:0])
-		clear(b.events)
-		b.events = b.events[:0]
-		if len(h.actions) == 0 {
-			continue
-		}
-		be.PutUint16(h.record(acOnBehalf)[1:], b.number)
-		for i := range h.actions {
-			h.encode(b, &h.actions[i])
-		}
-	}
-	h.touched = h.touched[:0]
-	var head [8]byte
-	be.PutUint32(head[0:], uint32(len(h.records)/actionSize))
-	be.PutUint32(head[4:], uint32(len(h.records)+len(h.tail)))
-	w.Write(head[:])
-	w.Write(h.records)
-	w.Write(h.tail)
-	return w.Flush()
-}
-
-func (h *Host) record(code byte) []byte {
-	n := len(h.records)
-	h.records = append(h.records, make([]byte, actionSize)...)
-	h.records[n] = code
-	return h.records[n:]
-}
-
-func (h *Host) encode(b *instance, a *broker.Action) {
-	switch a.Kind {
-	case broker.Send:
-		r := h.record(acSend)
-		be.PutUint64(r[1:], a.ID)
-		copy(r[17:], a.Node.Addr[:])
-		be.PutUint16(r[21:], a.Node.Port)
-	case broker.Shed:
-		r := h.record(acShed)
-		be.PutUint64(r[1:], a.ID)
-		be.PutUint64(r[9:], uint64(max(0, a.After)))
-	case broker.Fail:
-		be.PutUint64(h.record(acFailure)[1:], a.ID)
-	case broker.Answer:
-		r := h.record(acRespond)
-		be.PutUint64(r[1:], a.ID)
-		if a.Whole {
-			r[9] = 1
-		}
-	case broker.Cancel:
-		r := h.record(acAbandon)
-		be.PutUint64(r[1:], a.ID)
-		be.PutUint16(r[9:], a.Attempt)
-	case broker.Wake:
-		be.PutUint64(h.record(acTimer)[1:], b.start+uint64(max(0, a.At)))
-	case broker.Probe:
-		r := h.record(acProbe)
-		copy(r[1:], a.Node.Addr[:])
-		be.PutUint16(r[5:], a.Node.Port)
-	case broker.Close:
-		r := h.record(acLetGo)
-		copy(r[1:], a.Node.Addr[:])
-		be.PutUint16(r[5:], a.Node.Port)
-	case broker.Subscribe:
-		h.record(acKeepInformed)[1] = 1
-	case broker.Log:
-		h.text(h.record(acEmit)[1:], a.Text)
-	case broker.Tell:
-		r := h.record(acTell)
-		be.PutUint32(r[1:], math.MaxUint32) // every peer
-		h.text(r[5:], a.Text)
-	}
-}
-
-// text puts a field's bytes in the tail.
-func (h *Host) text(field []byte, s string) {
-	be.PutUint32(field, uint32(len(h.tail)))
-	be.PutUint32(field[4:], uint32(len(s)))
-	h.tail = append(h.tail, s...)
-}
--- /dev/null
+++ b/internal/protocols/sru/explain.go
@@ -0,0 +1,125 @@
+package sru
+
+// This file owns the explain record, and the reading of responses of other servers, within bounds.
+
+import (
+	"bytes"
+	"encoding/xml"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"flaxfront/internal/protocols/query"
+)
+
+// Explain writes the record that tells what there is.
+func Explain(v Version, host string, port int, database, title string, indexes []string, schemas [][2]string, most int) []byte {
+	w := writer{}
+	w.raw(xml.Header)
+	w.raw(`<explainResponse xmlns="` + v.namespace() + `">`)
+	w.element("version", v.String())
+	w.raw(`<record><recordSchema>http://explain.z3950.org/dtd/2.0/</recordSchema><recordPacking>xml</recordPacking><recordData>`)
+	w.raw(`<explain xmlns="http://explain.z3950.org/dtd/2.0/"><serverInfo protocol="SRU" version="` + v.String() + `">`)
+	w.element("host", host)
+	w.element("port", strconv.Itoa(port))
+	w.element("database", database)
+	w.raw("</serverInfo><databaseInfo>")
+	w.element("title", title)
+	w.raw("</databaseInfo><indexInfo>")
+	for _, i := range indexes {
+		set, name, _ := strings.Cut(i, ".")
+		w.raw(`<index><map><name set="`)
+		w.escaped([]byte(set))
+		w.raw(`">`)
+		w.escaped([]byte(name))
+		w.raw("</name></map></index>")
+	}
+	w.raw("</indexInfo><schemaInfo>")
+	for _, s := range schemas {
+		w.raw(`<schema identifier="`)
+		w.escaped([]byte(s[1]))
+		w.raw(`" name="`)
+		w.escaped([]byte(s[0]))
+		w.raw(`"/>`)
+	}
+	w.raw("</schemaInfo><configInfo>")
+	w.raw(`<setting type="maximumRecords">` + strconv.Itoa(most) + `</setting>`)
+	w.raw("</configInfo></explain></recordData></record></explainResponse>\n")
+	return w.b
+}
+
+// Indexes are the ones that can be searched, by the names of their context sets.
+func Indexes() []string { return query.Indexes() }
+
+// ParseResponse reads a response of any of the versions. Records are taken as they stand, between the tags round them.
+func ParseResponse(b []byte) (*Response, error) {
+	var doc struct {
+		XMLName xml.Name
+		Count   *int `xml:"numberOfRecords"`
+		Records []struct {
+			Schema   string `xml:"recordSchema"`
+			Packing  string `xml:"recordPacking"`
+			Escaping string `xml:"recordXMLEscaping"`
+			Data     struct {
+				Inner []byte `xml:",innerxml"`
+				Text  string `xml:",chardata"`
+			} `xml:"recordData"`
+		} `xml:"records>record"`
+		Diagnostics []struct {
+			URI     string `xml:"uri"`
+			Details string `xml:"details"`
+			Message string `xml:"message"`
+		} `xml:"diagnostics>diagnostic"`
+	}
+	if err := bounded(b); err != nil {
+		return nil, fmt.Errorf("sru: response: %w", err)
+	}
+	if err := xml.Unmarshal(b, &doc); err != nil {
+		return nil, fmt.Errorf("sru: response: %w", err)
+	}
+	if doc.XMLName.Local != "searchRetrieveResponse" || doc.Count == nil || *doc.Count < 0 {
+		return nil, fmt.Errorf("sru: %.40q is no response to a search", doc.XMLName.Local)
+	}
+	r := &Response{Count: *doc.Count}
+	for _, x := range doc.Records {
+		one := Record{Schema: x.Schema, Body: bytes.TrimSpace(x.Data.Inner)}
+		if x.Packing == "string" || x.Escaping == "string" {
+			one.Body = []byte(x.Data.Text)
+		}
+		if strings.HasPrefix(x.Schema, "info:srw/schema/1/diagnostics") {
+			one.Fault = Diagnose(65, "%.100s", x.Data.Text)
+		}
+		r.Records = append(r.Records, one)
+	}
+	for _, d := range doc.Diagnostics {
+		code, _ := strconv.Atoi(d.URI[strings.LastIndexByte(d.URI, '/')+1:])
+		r.Diagnostics = append(r.Diagnostics, &Diagnostic{code, d.Details, d.Message})
+	}
+	return r, nil
+}
+
+// bounded goes through a document before it is taken apart: depth, and neither document type nor entities of its own.
+func bounded(b []byte) error {
+	d := xml.NewDecoder(bytes.NewReader(b))
+	for depth := 0; ; {
+		tok, err := d.RawToken()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		switch tok.(type) {
+		case xml.StartElement:
+			if depth++; depth > 2*MaxDepth {
+				return errors.New("nested too deep")
+			}
+		case xml.EndElement:
+			depth--
+		case xml.Directive:
+			return errors.New("a directive")
+		}
+	}
+}
--- /dev/null
+++ b/internal/protocols/z3950/codec.go
@@ -0,0 +1,163 @@
+package z3950
+
+// This file owns the reading and writing of whole messages. It must never read beyond what a length claims.
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+
+	"flaxfront/internal/protocols/ber"
+	"flaxfront/internal/protocols/query"
+)
+
+// Read reads one message. What it claims to hold is given room only as it comes. io.EOF means that none had begun.
+func Read(r *bufio.Reader) (Message, error) {
+	var b []byte
+	for {
+		if len(b) > 0 {
+			n, err := ber.Length(b, MaxPDU)
+			if err != nil {
+				return nil, bad("%v", err)
+			}
+			if n > 0 && n <= len(b) {
+				return Decode(b[:n])
+			}
+			if n > len(b) { // the rest is known: no byte of what follows is read
+				at := len(b)
+				for at < n {
+					piece := min(n-at, 16<<10)
+					b = append(b, make([]byte, piece)...)
+					if _, err := io.ReadFull(r, b[at:]); errors.Is(err, io.EOF) {
+						return nil, io.ErrUnexpectedEOF
+					} else if err != nil {
+						return nil, err
+					}
+					at += piece
+				}
+				continue
+			}
+		}
+		c, err := r.ReadByte()
+		if err != nil {
+			if len(b) > 0 && errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+		if len(b) == 0 && c>>5 != 5 { // no message begins so: whoever speaks another protocol hears it at once
+			return nil, bad("first byte %#x", c)
+		}
+		// Byte by byte only while the length is unknown; of an indefinite one that costs what reading it again takes, so it is bounded.
+		if b = append(b, c); len(b) > maxIndefinite {
+			return nil, bad("an element of indefinite length beyond %d bytes", maxIndefinite)
+		}
+	}
+}
+
+// maxIndefinite bounds messages of indefinite length, which are looked at anew with each byte.
+const maxIndefinite = 4 << 10
+
+// Encode writes a message.
+func Encode(m Message) []byte {
+	var w ber.Writer
+	m.append(&w)
+	return w.Bytes()
+}
+
+// Decode reads a message that is there whole.
+func Decode(b []byte) (Message, error) {
+	e, rest, err := ber.Next(b)
+	if err != nil || len(rest) > 0 || e.Class != ber.Context || !e.Constructed {
+		return nil, bad("%d bytes are no message: %v", len(b), err)
+	}
+	var m Message
+	switch e.Tag {
+	case tagInitRequest:
+		x := &InitRequest{}
+		m, err = x, x.read(&e, nil)
+	case tagInitResponse:
+		x := &InitResponse{}
+		m, err = x, x.read(&e, &x.Accepted)
+	case tagSearchRequest:
+		x := &SearchRequest{}
+		m, err = x, x.read(&e)
+	case tagSearchResponse:
+		x := &SearchResponse{}
+		m, err = x, x.read(&e)
+	case tagPresentRequest:
+		x := &PresentRequest{}
+		m, err = x, x.read(&e)
+	case tagPresentResponse:
+		x := &PresentResponse{}
+		m, err = x, x.read(&e)
+	case tagDeleteRequest:
+		x := &DeleteRequest{}
+		m, err = x, x.read(&e)
+	case tagDeleteResponse:
+		x := &DeleteResponse{}
+		m, err = x, x.read(&e)
+	case tagClose:
+		x := &Close{}
+		m, err = x, x.read(&e)
+	default:
+		return nil, bad("message %d", e.Tag)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: message %d: %w", ErrProtocol, e.Tag, err)
+	}
+	return m, nil
+}
+
+// reading gathers the first fault, so that decoding reads as a list of fields.
+type reading struct{ err error }
+
+func (r *reading) int(e *ber.Element, to *int) {
+	n, err := e.Int()
+	if *to = n; err == nil && (n < -1<<31 || n > 1<<31) {
+		err = fmt.Errorf("number %d", n)
+	}
+	r.keep(err)
+}
+
+func (r *reading) bool(e *ber.Element, to *bool) {
+	yes, err := e.Bool()
+	*to = yes
+	r.keep(err)
+}
+
+func (r *reading) text(e *ber.Element, to *string) {
+	b, err := e.Bytes()
+	if *to = string(b); len(b) > query.MaxText {
+		err = fmt.Errorf("a text of %d bytes", len(b))
+	}
+	r.keep(err)
+}
+
+func (r *reading) oid(e *ber.Element, to *string) {
+	dots, err := e.OID()
+	*to = dots
+	r.keep(err)
+}
+
+func (r *reading) keep(err error) {
+	if r.err == nil {
+		r.err = err
+	}
+}
+
+func (c *Common) reference(r *reading, e *ber.Element) {
+	b, err := e.Bytes()
+	if len(b) > 1024 {
+		err = fmt.Errorf("a reference of %d bytes", len(b))
+	}
+	c.Reference = append([]byte(nil), b...)
+	r.keep(err)
+}
+
+func (c *Common) write(w *ber.Writer) {
+	if len(c.Reference) > 0 {
+		w.Text(2, string(c.Reference))
+	}
+}
--- /dev/null
+++ b/internal/protocols/z3950/ending.go
@@ -0,0 +1,109 @@
+package z3950
+
+// This file owns the form of the messages that delete result sets and close a session.
+
+import (
+	"errors"
+	"fmt"
+	"unicode/utf8"
+
+	"flaxfront/internal/protocols/ber"
+)
+
+func (m *DeleteRequest) read(e *ber.Element) error {
+	var r reading
+	r.keep(e.Each(func(x *ber.Element) error {
+		switch {
+		case x.Is(2):
+			m.reference(&r, x)
+		case x.Is(32):
+			all := 0
+			r.int(x, &all)
+			m.All = all == 1
+		case x.IsUniversal(ber.TagSequence):
+			return x.Each(func(y *ber.Element) error {
+				var name string
+				r.text(y, &name)
+				if m.Sets = append(m.Sets, name); len(m.Sets) > 1000 {
+					return errors.New("more than 1000 result sets")
+				}
+				return r.err
+			})
+		}
+		return r.err
+	}))
+	return r.err
+}
+
+func (m *DeleteRequest) append(w *ber.Writer) {
+	w.Within(ber.Context, tagDeleteRequest, func(w *ber.Writer) {
+		m.write(w)
+		all := 0
+		if m.All {
+			all = 1
+		}
+		w.Int(32, all)
+		if len(m.Sets) > 0 {
+			w.Within(ber.Universal, ber.TagSequence, func(w *ber.Writer) {
+				for _, s := range m.Sets {
+					w.Text(31, s)
+				}
+			})
+		}
+	})
+}
+
+func (m *DeleteResponse) read(e *ber.Element) error {
+	var r reading
+	r.keep(e.Each(func(x *ber.Element) error {
+		switch {
+		case x.Is(2):
+			m.reference(&r, x)
+		case x.Is(0):
+			r.int(x, &m.Status)
+		}
+		return r.err
+	}))
+	return r.err
+}
+
+func (m *DeleteResponse) append(w *ber.Writer) {
+	w.Within(ber.Context, tagDeleteResponse, func(w *ber.Writer) {
+		m.write(w)
+		w.Int(0, m.Status)
+	})
+}
+
+func (m *Close) read(e *ber.Element) error {
+	var r reading
+	r.keep(e.Each(func(x *ber.Element) error {
+		switch {
+		case x.Is(2):
+			m.reference(&r, x)
+		case x.Is(211):
+			r.int(x, &m.Reason)
+		case x.Is(3):
+			r.text(x, &m.Text)
+		}
+		return r.err
+	}))
+	return r.err
+}
+
+func (m *Close) append(w *ber.Writer) {
+	w.Within(ber.Context, tagClose, func(w *ber.Writer) {
+		m.write(w)
+		w.Int(211, m.Reason)
+		if m.Text != "" {
+			w.Text(3, m.Text)
+		}
+	})
+}
+
+// validText is a text as records and diagnostics may carry it.
+func validText(b []byte) string {
+	if utf8.Valid(b) {
+		return string(b)
+	}
+	return fmt.Sprintf("%q", b)
+}
--- /dev/null
+++ b/internal/protocols/z3950/records.go
@@ -0,0 +1,152 @@
+package z3950
+
+// This file owns the form of records and diagnostics.
+
+import (
+	"fmt"
+
+	"flaxfront/internal/protocols/ber"
+)
+
+const mostRecords = 10_000
+
+// read takes what may stand for records in a response; anything else is passed over.
+func (r *Records) read(e *ber.Element) error {
+	switch {
+	case e.Is(28): // records
+		return e.Each(func(x *ber.Element) error {
+			one := Record{}
+			if err := one.read(x); err != nil {
+				return err
+			}
+			if r.All = append(r.All, one); len(r.All) > mostRecords {
+				return fmt.Errorf("more than %d records", mostRecords)
+			}
+			return nil
+		})
+	case e.Is(130): // a non-surrogate diagnostic
+		f, err := readFault(e)
+		r.Fault = f
+		return err
+	case e.Is(205): // several
+		return e.Each(func(x *ber.Element) error {
+			f, err := readFault(x)
+			if r.Fault == nil {
+				r.Fault = f
+			}
+			return err
+		})
+	}
+	return nil
+}
+
+func (r *Record) read(e *ber.Element) error {
+	return e.Each(func(x *ber.Element) error {
+		switch {
+		case x.Is(0):
+			b, err := x.Bytes()
+			r.Database = validText(b)
+			return err
+		case x.Is(1):
+			return x.Each(func(y *ber.Element) error { return r.readBody(y) })
+		}
+		return nil
+	})
+}
+
+func (r *Record) readBody(e *ber.Element) error {
+	switch {
+	case e.Is(1): // retrieval record: an external
+		return e.Each(func(x *ber.Element) error { return r.readExternal(x) })
+	case e.Is(2): // surrogate diagnostic
+		return e.Each(func(x *ber.Element) (err error) {
+			r.Fault, err = readFault(x)
+			return err
+		})
+	}
+	return nil
+}
+
+func (r *Record) readExternal(e *ber.Element) error {
+	return e.Each(func(x *ber.Element) (err error) {
+		switch {
+		case x.IsUniversal(ber.TagOID):
+			r.Syntax, err = x.OID()
+		case x.Is(1): // octets
+			var b []byte
+			b, err = x.Bytes()
+			r.Body = append([]byte(nil), b...)
+		case x.Is(0): // one ASN.1 type: SUTRS is a string
+			err = x.Each(func(y *ber.Element) error {
+				b, err := y.Bytes()
+				r.Body = append([]byte(nil), b...)
+				return err
+			})
+		}
+		return err
+	})
+}
+
+// readFault reads a diagnostic: the set it is of, a number, some words.
+func readFault(e *ber.Element) (*Fault, error) {
+	f := &Fault{}
+	err := e.Each(func(x *ber.Element) (err error) {
+		switch {
+		case x.IsUniversal(ber.TagInteger):
+			f.Code, err = x.Int()
+		case x.IsUniversal(ber.TagVisible), x.IsUniversal(ber.TagGeneral):
+			var b []byte
+			b, err = x.Bytes()
+			f.Text = validText(b)
+		}
+		return err
+	})
+	return f, err
+}
+
+func (r *Records) write(w *ber.Writer) {
+	if r.Fault != nil {
+		w.Within(ber.Context, 130, func(w *ber.Writer) { r.Fault.write(w) })
+		return
+	}
+	if len(r.All) == 0 {
+		return
+	}
+	w.Within(ber.Context, 28, func(w *ber.Writer) {
+		for i := range r.All {
+			r.All[i].write(w)
+		}
+	})
+}
+
+func (r *Record) write(w *ber.Writer) {
+	w.Within(ber.Universal, ber.TagSequence, func(w *ber.Writer) {
+		if r.Database != "" {
+			w.Text(0, r.Database)
+		}
+		w.Within(ber.Context, 1, func(w *ber.Writer) {
+			if r.Fault != nil {
+				w.Within(ber.Context, 2, func(w *ber.Writer) {
+					w.Within(ber.Universal, ber.TagSequence, func(w *ber.Writer) { r.Fault.write(w) })
+				})
+				return
+			}
+			w.Within(ber.Context, 1, func(w *ber.Writer) {
+				w.Within(ber.Universal, ber.TagExternal, func(w *ber.Writer) {
+					w.OID(-1, r.Syntax)
+					if r.Syntax == SUTRS {
+						w.Within(ber.Context, 0, func(w *ber.Writer) { w.Universal(ber.TagGeneral, r.Body) })
+						return
+					}
+					w.Text(1, string(r.Body))
+				})
+			})
+		})
+	})
+}
+
+func (f *Fault) write(w *ber.Writer) {
+	w.OID(-1, Diagnostic)
+	w.UniversalInt(f.Code)
+	w.Universal(ber.TagGeneral, []byte(f.Text))
+}
--- a/internal/server/crew.go
+++ b/internal/server/crew.go
@@ -232,21 +232,6 @@
 	l.crew.pass(&w)
 }
 
-// CrewState is what operators see of the tier.
-type CrewState struct {
-	Self    string
-	Now     time.Duration
-	Members []members.Member
-	Duties  []duties.State
-	Counts  members.Counts
-	List    words.Counts
-}
-
-func (l *loop) crewState(now time.Duration) *CrewState {
-	c := l.crew
-	return &CrewState{c.members.Self().Name, now, c.members.All(), c.duties.States(now), c.members.Counts, c.words.Counts}
-}
-
 // leaveCrew tells the others that the broker stops, as planned.
 func (l *loop) leaveCrew() {
 	now := l.since()
--- a/internal/server/search.go
+++ b/internal/server/search.go
@@ -73,34 +73,6 @@
 	tries []*store.Part
 }
 
-// result is the final answer.
-type result struct {
-	kind   resultKind
-	whole  bool
-	after  time.Duration // shed: when to come back; 0: no advice
-	pieces []piece
-
-	// answered, where the search had a hint
-	hinted bool
-	seen   []hint.Position // by shard
-	behind []int           // shards that do not keep what it asked for
-	stale  time.Duration   // what the answer may lack at the most; pins.Unknown: no bound is known
-}
-
-type resultKind uint8
-
-const (
-	answered resultKind = iota
-	shed
-	errored
-	twice // a search of that id is in hand
-)
-
-type piece struct {
-	shard int
-	value string
-}
-
 // fits tells whether a search that was read under other settings can be taken under those in force, and has it say the same
 // under them.
 func (l *loop) fits(a *ask) bool {
@@ -176,48 +148,6 @@
 	}
 }
 
-// verdictOf makes the final answer of the module's word and the values that are in.
-func (s *search) verdictOf(a *broker.Action) result {
-	switch a.Kind {
-	case broker.Shed:
-		return result{kind: shed, after: a.After}
-	case broker.Fail:
-		return result{kind: errored}
-	}
-	v := result{kind: answered, whole: a.Whole}
-	for i := range s.parts {
-		if s.parts[i].in {
-			v.pieces = append(v.pieces, piece{s.ask.parts[i].shard, s.parts[i].value})
-		}
-	}
-	return v
-}
-
-// conclude gives a search its one verdict and counts it.
-func (l *loop) conclude(s *search, v result) {
-	switch v.kind {
-	case answered:
-		l.tally.Answered++
-		if !v.whole {
-			l.tally.Partial++
-		}
-	case shed:
-		l.tally.Shed++
-	default:
-		l.tally.Errored++
-	}
-	if l.agreed != nil {
-		l.agreed.counted(s, v, l.since())
-	}
-	s.over = true
-	l.outside(s, v.kind == answered, v.kind == shed)
-	if s.to != nil {
-		s.to(v)
-	} else {
-		s.verdict <- v
-	}
-}
-
 // part finds the search that a part belongs to, and its place there.
 func (l *loop) part(id uint64) (*search, int) {
 	if s := l.owners[id]; s != nil {
--- /dev/null
+++ b/internal/transport/httpwire/fields.go
@@ -0,0 +1,108 @@
+package httpwire
+
+// This file owns lines, header fields and chunks. It must never hold more of one than its limits.
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+)
+
+func readFields(r *bufio.Reader) (fields []Field, err error) {
+	size := 0
+	for {
+		line, err := readLine(r)
+		if err != nil || line == "" {
+			return fields, err
+		}
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || !isToken(name) {
+			return nil, fault(400, "header line %.60q", line)
+		}
+		if fields == nil {
+			fields = make([]Field, 0, usualFields)
+		}
+		if size += len(line); len(fields) == maxFields || size > maxHead {
+			return nil, fault(431, "more than %d header fields, or %d bytes of them", maxFields, maxHead)
+		}
+		value = strings.Trim(value, " \t")
+		if strings.ContainsAny(value, "\x00\r") {
+			return nil, fault(400, "control character in %s", name)
+		}
+		fields = append(fields, Field{lower(name), value})
+	}
+}
+
+// known are names that come with most messages, as they are kept.
+var known = [...]string{"host", "x-request-id", "x-tenant-id", "x-timeout-ms", "content-length", "cookie", "connection",
+	"content-type", "x-retried", "transfer-encoding", "user-agent", "accept"}
+
+// lower gives a name in lower case, the usual ones without making it anew.
+func lower(name string) string {
+	for _, k := range known {
+		if len(k) == len(name) && strings.EqualFold(k, name) {
+			return k
+		}
+	}
+	return strings.ToLower(name)
+}
+
+func readChunks(r *bufio.Reader) ([]byte, error) {
+	body := bytes.NewBuffer([]byte{})
+	for {
+		line, err := readLine(r)
+		if err != nil {
+			return nil, err
+		}
+		digits, _, _ := strings.Cut(line, ";")
+		n, err := strconv.ParseUint(strings.TrimRight(digits, " \t"), 16, 31)
+		if err != nil || strings.HasPrefix(digits, "+") {
+			return nil, fault(400, "chunk size %.40q", line)
+		}
+		if n == 0 {
+			_, err := readFields(r)
+			return body.Bytes(), err
+		}
+		if body.Len()+int(n) > MaxBody {
+			return nil, fault(413, "chunks beyond %d bytes", MaxBody)
+		}
+		if _, err := io.CopyN(body, r, int64(n)); err != nil {
+			return nil, err
+		}
+		if line, err := readLine(r); err != nil {
+			return nil, err
+		} else if line != "" {
+			return nil, fault(400, "chunk longer than it says")
+		}
+	}
+}
+
+// readLine reads up to LF and drops the line's end; io.EOF means that not one byte came.
+func readLine(r *bufio.Reader) (string, error) {
+	line, err := r.ReadSlice('\n')
+	if err == nil {
+		line = bytes.TrimSuffix(line[:len(line)-1], []byte{'\r'})
+		if len(line) > maxLine {
+			err = bufio.ErrBufferFull
+		}
+	}
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		return "", fault(431, "line beyond %d bytes", maxLine)
+	case errors.Is(err, io.EOF) && len(line) > 0:
+		return "", io.ErrUnexpectedEOF
+	}
+	return string(line), err
+}
+
+func isToken(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; c <= ' ' || c >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
+			return false
+		}
+	}
+	return s != ""
+}
--- /dev/null
+++ b/internal/transport/httpwire/write.go
@@ -0,0 +1,60 @@
+package httpwire
+
+// This file owns the writing of messages.
+
+import (
+	"fmt"
+	"strconv"
+)
+
+// AppendRequest encodes a request without a body.
+func AppendRequest(b []byte, method, target, host string) []byte {
+	return fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n\r\n", method, target, host)
+}
+
+// AppendResponse encodes a response with its length; fields are whole header lines without their end.
+func AppendResponse(b []byte, status int, last bool, body []byte, fields ...string) []byte {
+	b = append(strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(status), 10), ' ')
+	b = append(append(b, reason(status)...), "\r\nContent-Length: "...)
+	b = append(strconv.AppendInt(b, int64(len(body)), 10), "\r\n"...)
+	for _, f := range fields {
+		b = append(append(b, f...), '\r', '\n')
+	}
+	if last {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	return append(append(b, '\r', '\n'), body...)
+}
+
+func reason(status int) string {
+	switch status {
+	case 200:
+		return "OK"
+	case 400:
+		return "Bad Request"
+	case 404:
+		return "Not Found"
+	case 405:
+		return "Method Not Allowed"
+	case 408:
+		return "Request Timeout"
+	case 409:
+		return "Conflict"
+	case 413:
+		return "Content Too Large"
+	case 417:
+		return "Expectation Failed"
+	case 431:
+		return "Request Header Fields Too Large"
+	case 501:
+		return "Not Implemented"
+	case 503:
+		return "Service Unavailable"
+	case 504:
+		return "Gateway Timeout"
+	case 505:
+		return "HTTP Version Not Supported"
+	default:
+		return "Unknown"
+	}
+}
--- /dev/null
+++ b/internal/transport/link/serve.go
@@ -0,0 +1,83 @@
+package link
+
+// This file owns the links that are opened from elsewhere.
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"flaxfront/internal/transport/keys"
+)
+
+// Serve takes links from other brokers until the listener is closed. Handshakes are bounded in number and time.
+func (l *Links) Serve(ctx context.Context, ln net.Listener) error {
+	config := l.opts.Keys.Server(func(id keys.ID) error {
+		for _, site := range l.opts.Sites {
+			if id.Site == site {
+				return nil
+			}
+		}
+		return fmt.Errorf("%s is of no site that may open links here", id)
+	})
+	var all sync.WaitGroup
+	defer all.Wait()
+	for {
+		nc, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			if err == nil {
+				nc.Close()
+			}
+			return nil
+		}
+		if err != nil {
+			slog.Warn("accept failed on the link listener", "error", err)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		l.mu.Lock()
+		full := l.in >= l.opts.MostIn
+		if !full {
+			l.in++
+		}
+		l.mu.Unlock()
+		if full { // Danger: whoever opens many connections here would take descriptors from clients
+			l.refuse(nc, errors.New("too many links"))
+			continue
+		}
+		all.Go(func() {
+			defer func() {
+				l.mu.Lock()
+				l.in--
+				l.mu.Unlock()
+			}()
+			c, err := l.shake(ctx, tls.Server(nc, config), -1)
+			if err != nil {
+				l.refuse(nc, err)
+				return
+			}
+			l.carry(ctx, c)
+		})
+	}
+}
+
+// refuse ends a connection that got no further than the handshake, with a log line, of which there are a few a second.
+func (l *Links) refuse(nc net.Conn, err error) {
+	nc.Close()
+	l.Refused.Add(1)
+	l.mu.Lock()
+	if s := time.Now().Unix(); s != l.second {
+		l.second, l.lines = s, 0
+	}
+	l.lines++
+	logged := l.lines <= 5
+	l.mu.Unlock()
+	if logged {
+		slog.Warn("link refused", "from", nc.RemoteAddr(), "reason", "handshake", "error", err, "refused", l.Refused.Load())
+	}
+}
