When discovery is hedged, given up and asked again is decided without I/O, in trust

The values are as before. Two tests shared a recorder written three times. Checked: race detector clean over discovery and trust.

--- a/internal/discovery/busy_test.go
+++ b/internal/discovery/busy_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"flaxfront/internal/decision/trust"
 	"flaxfront/internal/transport/httpwire"
 )
 
@@ -84,7 +85,7 @@
 				c.Move("new", nil)
 				go c.Run(ctx)
 			}
-			time.Sleep(countsAfterMove)
+			time.Sleep(trust.CountsAfterMove)
 			synctest.Wait()
 			mu.Lock()
 			if len(had) < brokers {
@@ -140,13 +141,7 @@
 		}
 	}()
 	told := make(chan string, 100)
-	c := NewClient(ln.Addr().String(), reader(), 3*time.Second, 0, false, func(l *List, err error) {
-		if err != nil {
-			told <- "failed"
-		} else {
-			told <- fmt.Sprint(l.Version)
-		}
-	})
+	c := NewClient(ln.Addr().String(), reader(), 3*time.Second, 0, false, versions(told))
 	c.lot = none
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
@@ -189,3 +184,14 @@
 		synctest.Wait()
 	})
 }
+
+// versions tells what is told as a version, or as a failure.
+func versions(told chan<- string) func(*List, error) {
+	return func(l *List, err error) {
+		if err != nil {
+			told <- "failed"
+			return
+		}
+		told <- fmt.Sprint(l.Version)
+	}
+}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -26,10 +26,10 @@
 
 	addr   string
 	reader Reader
-	wait   time.Duration                           // how long discovery may hold a watch
-	lot    func(below time.Duration) time.Duration // draws a time: brokers that do the same must not do it in step
-	moved  time.Time                               // to the service that is asked
-	held   uint64                                  // the version held
+	wait   time.Duration // how long discovery may hold a watch
+	lot    trust.Lot
+	moved  time.Time // to the service that is asked
+	held   uint64    // the version held
 	known  bool
 	tell   func(*List, error) // delivers to the loop
 	ask    chan struct{}
@@ -51,7 +51,7 @@
 // NewClient makes a client that holds a version already, or nothing (known false).
 func NewClient(addr string, reader Reader, wait time.Duration, held uint64, known bool,
 	tell func(*List, error)) *Client {
-	return &Client{addr: addr, reader: reader, wait: min(wait, longestWait), held: held, known: known, tell: tell,
+	return &Client{addr: addr, reader: reader, wait: wait, held: held, known: known, tell: tell,
 		lot: rand.N[time.Duration], ask: make(chan struct{}, 1), dial: new(net.Dialer).DialContext}
 }
 
@@ -96,7 +96,7 @@
 		c.addr, c.pending, c.held, c.known = c.pending, "", 0, false
 		c.moved, c.hurry = time.Now(), false
 		if c.next != nil {
-			c.reader, c.wait, c.pushed, c.next = c.next.Reader, min(c.next.Wait, longestWait), c.next.Pushed, nil
+			c.reader, c.wait, c.pushed, c.next = c.next.Reader, c.next.Wait, c.next.Pushed, nil
 		}
 	}
 	ctx, c.interrupt = context.WithCancel(ctx)
@@ -154,17 +154,12 @@
 	if !broke && !(c.pushed && c.failed) { // an agent's outage is told once
 		c.tell(nil, err)
 	}
-	moved := time.Since(c.moved) < countsAfterMove
-	c.failed, c.hurry = true, moved || broke || c.pushed
-	switch {
-	case broke:
-		c.pause(ctx, c.lot(pauseMost))
-	case c.pushed:
-		c.pause(ctx, agentPause/2+c.lot(agentPause/2))
-	case moved:
-		c.pause(ctx, c.lot(pauseMost)+max(0, pauseLeast-time.Since(began)))
+	d, again := c.lot.Again(trust.Failure{Broke: broke, Agent: c.pushed, Moved: time.Since(c.moved), Took: time.Since(began)})
+	c.failed, c.hurry = true, again
+	if again {
+		c.pause(ctx, d)
 	}
-	return c.hurry && ctx.Err() == nil
+	return again && ctx.Err() == nil
 }
 
 func (c *Client) answered(list *List) {
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -52,13 +52,7 @@
 		}
 	}()
 	told := make(chan string, 100)
-	c := NewClient(ln.Addr().String(), reader(), 3*time.Second, 40, true, func(l *List, err error) {
-		if err != nil {
-			told <- "failed"
-		} else {
-			told <- fmt.Sprint(l.Version)
-		}
-	})
+	c := NewClient(ln.Addr().String(), reader(), 3*time.Second, 40, true, versions(told))
 	c.lot = none
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
--- a/internal/discovery/race.go
+++ b/internal/discovery/race.go
@@ -78,7 +78,7 @@
 
 // exchange puts one request and reads its answer.
 func (r *race) exchange(conn *connection, q request) outcome {
-	ctx, cancel := context.WithTimeoutCause(r.ctx, q.limit, errSilent)
+	ctx, cancel := context.WithTimeoutCause(r.ctx, q.Limit, errSilent)
 	defer cancel()
 	began := time.Now()
 	if conn == nil {
