Z39.50: a search whose operator lacks an operand no longer ends the broker

What callers saw: one Z39.50 client sent a search whose operator "and" had one operand (83 bytes of valid BER).

Cause: readRPN took each operand that came and never counted them, and an operator was told from an operand by Left alone. So an operator with Left set and Right nil left the decoder as a valid query, and the next reader of it, RPN.toNode, called a method of the missing one. The panic was in a session's goroutine, which ends the process.

Change: an operator holds its operands as an array of two values, in the tree of Type-1 and in that of CQL, so that no tree with a missing operand can be built, by any decoder or translation. readOperation counts the operands and says how many came; the session gets a Close with reason 6 (protocol error), as for three operands before. Translations return nothing beside an error; they returned half a tree.

Ruled out: PQF and CQL, whose parsers already refuse "@and a" and "a and" (TestUntranslatable, TestBadCQL), and SRU, which builds its tree by CQL.

--- a/internal/protocols/front/z3950/search.go
+++ b/internal/protocols/front/z3950/search.go
@@ -108,8 +108,8 @@
 		*found = *found || r.ResultSet != ""
 		return
 	}
-	s.resultSets(r.Left, found)
-	s.resultSets(r.Right, found)
+	s.resultSets(&r.Operands[0], found)
+	s.resultSets(&r.Operands[1], found)
 }
 
 // ask runs a search on the broker. It is cancelled if the client disconnects meanwhile.
--- a/internal/protocols/query/cql.go
+++ b/internal/protocols/query/cql.go
@@ -110,8 +110,12 @@
 			break
 		}
 		p.next()
-		n := &Node{Op: op, Left: left, Modifiers: p.parseModifiers()}
-		n.Right = p.parseClause()
+		n := &Node{Op: op, Modifiers: p.parseModifiers()}
+		right := p.parseClause()
+		if p.err != nil {
+			return nil
+		}
+		n.Operands = &[2]Node{*left, *right}
 		left = p.countNode(n)
 	}
 	return left
--- a/internal/protocols/query/cqlprint.go
+++ b/internal/protocols/query/cqlprint.go
@@ -54,11 +54,11 @@
 		if right {
 			b.WriteByte('(')
 		}
-		n.Left.writeCQL(b, false)
+		n.Operands[0].writeCQL(b, false)
 		b.WriteString(" " + n.Op.String())
 		writeModifiers(b, n.Modifiers)
 		b.WriteByte(' ')
-		n.Right.writeCQL(b, true)
+		n.Operands[1].writeCQL(b, true)
 		if right {
 			b.WriteByte(')')
 		}
--- a/internal/protocols/query/fromrpn.go
+++ b/internal/protocols/query/fromrpn.go
@@ -11,33 +11,15 @@
 // Query translates a Type-1 query to CQL. Its errors are of type *Fault.
 func (r *RPN) Query() (*Query, error) {
 	root, err := r.toNode()
-	return &Query{Root: root}, err
+	if err != nil {
+		return nil, err
+	}
+	return &Query{Root: root}, nil
 }
 
 func (r *RPN) toNode() (*Node, error) {
 	if !r.IsOperand() {
-		n := &Node{Op: r.Op}
-		if r.Op == Prox {
-			if len(r.Proximity) != 6 || r.Proximity[0] != 0 || r.Proximity[4] != 1 || r.Proximity[5] < 1 || r.Proximity[5] > 8 {
-				return nil, badProximity.withDetails(-1, "%v", r.Proximity)
-			}
-			names := []string{"<", "<=", "=", ">=", ">", "<>"}
-			row := r.Proximity[3] - 1
-			if row < 0 || row >= len(names) {
-				return nil, badProximity.withDetails(-1, "relation %d", r.Proximity[3])
-			}
-			order := "unordered"
-			if r.Proximity[2] == 1 {
-				order = "ordered"
-			}
-			n.Modifiers = []Modifier{{"distance", names[row], strconv.Itoa(r.Proximity[1])}, {order, "", ""},
-				{"unit", "=", []string{"", "character", "word", "sentence", "paragraph", "section", "chapter", "document", "element"}[r.Proximity[5]]}}
-		}
-		var err error
-		if n.Left, err = r.Left.toNode(); err == nil {
-			n.Right, err = r.Right.toNode()
-		}
-		return n, err
+		return r.toBoolean()
 	}
 	if r.ResultSet != "" {
 		return &Node{ResultSet: r.ResultSet}, nil
@@ -111,6 +93,43 @@
 	return n, nil
 }
 
+// toBoolean translates an operator and its operands.
+func (r *RPN) toBoolean() (*Node, error) {
+	n := &Node{Op: r.Op, Operands: &[2]Node{}}
+	if r.Op == Prox {
+		var err error
+		if n.Modifiers, err = r.proximityModifiers(); err != nil {
+			return nil, err
+		}
+	}
+	for i := range r.Operands {
+		operand, err := r.Operands[i].toNode()
+		if err != nil {
+			return nil, err
+		}
+		n.Operands[i] = *operand
+	}
+	return n, nil
+}
+
+// proximityModifiers translates the parameters of a proximity operator.
+func (r *RPN) proximityModifiers() ([]Modifier, error) {
+	if len(r.Proximity) != 6 || r.Proximity[0] != 0 || r.Proximity[4] != 1 || r.Proximity[5] < 1 || r.Proximity[5] > 8 {
+		return nil, badProximity.withDetails(-1, "%v", r.Proximity)
+	}
+	names := []string{"<", "<=", "=", ">=", ">", "<>"}
+	row := r.Proximity[3] - 1
+	if row < 0 || row >= len(names) {
+		return nil, badProximity.withDetails(-1, "relation %d", r.Proximity[3])
+	}
+	order := "unordered"
+	if r.Proximity[2] == 1 {
+		order = "ordered"
+	}
+	units := []string{"", "character", "word", "sentence", "paragraph", "section", "chapter", "document", "element"}
+	return []Modifier{{"distance", names[row], strconv.Itoa(r.Proximity[1])}, {order, "", ""}, {"unit", "=", units[r.Proximity[5]]}}, nil
+}
+
 // escapeTerm escapes the characters that have a meaning of their own in a CQL term.
 func escapeTerm(term string) string {
 	var b strings.Builder
--- a/internal/protocols/query/pqf.go
+++ b/internal/protocols/query/pqf.go
@@ -125,11 +125,15 @@
 				p.pos++
 			}
 		}
-		var err error
-		if r.Left, err = p.parseNode(depth + 1); err == nil {
-			r.Right, err = p.parseNode(depth + 1)
+		r.Operands = &[2]RPN{}
+		for i := range r.Operands {
+			operand, err := p.parseNode(depth + 1)
+			if err != nil {
+				return nil, err
+			}
+			r.Operands[i] = *operand
 		}
-		return r, err
+		return r, nil
 	case "@set":
 		if p.currentWord() == "" {
 			return nil, badResultSet.withDetails(-1, "@set needs a name")
@@ -185,9 +189,9 @@
 		for _, n := range r.Proximity {
 			fmt.Fprintf(b, "%d ", n)
 		}
-		r.Left.writePQF(b)
+		r.Operands[0].writePQF(b)
 		b.WriteByte(' ')
-		r.Right.writePQF(b)
+		r.Operands[1].writePQF(b)
 	case r.ResultSet != "":
 		b.WriteString("@set ")
 		writePQFTerm(b, r.ResultSet)
--- a/internal/protocols/query/query.go
+++ b/internal/protocols/query/query.go
@@ -38,7 +38,7 @@
 // Modifier qualifies a relation, a boolean or a sort key: /name or /name comparison value.
 type Modifier struct{ Name, Comparison, Value string }
 
-// Node is a part of a CQL query: a search clause if Left is nil, else a boolean operator with its two operands.
+// Node is a part of a CQL query: a search clause if Operands is nil, else a boolean operator, which always has two operands.
 type Node struct {
 	// fields of a search clause
 	Index     string // as written in the query, such as dc.title; empty: cql.serverChoice
@@ -48,12 +48,12 @@
 	Modifiers []Modifier
 
 	// fields of a boolean operator
-	Op          Op
-	Left, Right *Node
+	Op       Op
+	Operands *[2]Node // values, not pointers, so that none can be missing
 }
 
 // IsClause reports whether the node is a search clause, not a boolean operator.
-func (n *Node) IsClause() bool { return n.Left == nil }
+func (n *Node) IsClause() bool { return n.Operands == nil }
 
 // SortKey is one key of a sortby clause.
 type SortKey struct {
@@ -110,15 +110,12 @@
 
 // Walk calls visit for each search clause, from left to right.
 func (n *Node) Walk(visit func(*Node)) {
-	if n == nil {
-		return
-	}
 	if n.IsClause() {
 		visit(n)
 		return
 	}
-	n.Left.Walk(visit)
-	n.Right.Walk(visit)
+	n.Operands[0].Walk(visit)
+	n.Operands[1].Walk(visit)
 }
 
 // equalFold compares names of CQL and PQF, which are case-insensitive.
--- a/internal/protocols/query/query_test.go
+++ b/internal/protocols/query/query_test.go
@@ -127,7 +127,8 @@
 // drawNode generates a query tree of at most the given depth.
 func drawNode(t *rapid.T, depth int) *Node {
 	if depth > 0 && rapid.Bool().Draw(t, "boolean") {
-		return &Node{Op: Op(rapid.IntRange(0, 2).Draw(t, "op")), Left: drawNode(t, depth-1), Right: drawNode(t, depth-1)}
+		op := Op(rapid.IntRange(0, 2).Draw(t, "op"))
+		return &Node{Op: op, Operands: &[2]Node{*drawNode(t, depth-1), *drawNode(t, depth-1)}}
 	}
 	n := &Node{Term: rapid.StringMatching(`[a-zA-Z0-9 "()=<>/é.*-]{0,12}`).Draw(t, "term")}
 	if rapid.Bool().Draw(t, "indexed") {
--- a/internal/protocols/query/rpn.go
+++ b/internal/protocols/query/rpn.go
@@ -24,27 +24,27 @@
 	Text  string // replaces Value if the value is not a number
 }
 
-// RPN is a part of a Type-1 query: an operand if Left is nil, else an operator with its two operands.
+// RPN is a part of a Type-1 query: an operand if Operands is nil, else an operator, which always has two operands.
 type RPN struct {
 	Attributes []Attribute
 	Term       string
 	ResultSet  string
 
-	Op          Op
-	Proximity   []int // parameters of Prox: exclusion, distance, ordered, relation, known or private unit, unit
-	Left, Right *RPN
+	Op        Op
+	Proximity []int   // parameters of Prox: exclusion, distance, ordered, relation, known or private unit, unit
+	Operands  *[2]RPN // values, not pointers, so that none can be missing
 }
 
 // IsOperand reports whether r is an operand, not an operator.
-func (r *RPN) IsOperand() bool { return r.Left == nil }
+func (r *RPN) IsOperand() bool { return r.Operands == nil }
 
 // addAttribute adds an attribute to every operand below r that has none of the same type and set.
 func (r *RPN) addAttribute(a Attribute) error {
 	if !r.IsOperand() {
-		if err := r.Left.addAttribute(a); err != nil {
+		if err := r.Operands[0].addAttribute(a); err != nil {
 			return err
 		}
-		return r.Right.addAttribute(a)
+		return r.Operands[1].addAttribute(a)
 	}
 	for _, present := range r.Attributes {
 		if present.Type == a.Type && present.Set == a.Set {
--- a/internal/protocols/query/translate.go
+++ b/internal/protocols/query/translate.go
@@ -50,12 +50,7 @@
 		if len(n.Modifiers) > 0 {
 			return nil, badBoolean.withDetails(-1, "%s/%.40s", n.Op, n.Modifiers[0].Name)
 		}
-		left, err := n.Left.toRPN()
-		if err != nil {
-			return nil, err
-		}
-		right, err := n.Right.toRPN()
-		return &RPN{Op: n.Op, Left: left, Right: right}, err
+		return n.joinOperands(&RPN{Op: n.Op})
 	}
 	if n.ResultSet != "" {
 		return &RPN{ResultSet: n.ResultSet}, nil
@@ -127,6 +122,19 @@
 	return r, nil
 }
 
+// joinOperands translates the operands of a boolean operator into those of the operator r.
+func (n *Node) joinOperands(r *RPN) (*RPN, error) {
+	r.Operands = &[2]RPN{}
+	for i := range n.Operands {
+		operand, err := n.Operands[i].toRPN()
+		if err != nil {
+			return nil, err
+		}
+		r.Operands[i] = *operand
+	}
+	return r, nil
+}
+
 func (r *RPN) setAttribute(kind, value int) {
 	for i := range r.Attributes {
 		if r.Attributes[i].Type == kind {
@@ -148,7 +156,7 @@
 		if all == nil {
 			all = clause
 		} else {
-			all = &RPN{Op: op, Left: all, Right: clause}
+			all = &RPN{Op: op, Operands: &[2]RPN{*all, *clause}}
 		}
 	}
 	return all, nil
@@ -207,10 +215,5 @@
 			return nil, badProximity.withDetails(-1, "modifier %.40q", m.Name)
 		}
 	}
-	left, err := n.Left.toRPN()
-	if err != nil {
-		return nil, err
-	}
-	right, err := n.Right.toRPN()
-	return &RPN{Op: Prox, Proximity: proximity, Left: left, Right: right}, err
+	return n.joinOperands(&RPN{Op: Prox, Proximity: proximity})
 }
--- a/internal/protocols/z3950/parts.go
+++ b/internal/protocols/z3950/parts.go
@@ -31,6 +31,7 @@
 	})
 }
 
+// readRPN decodes a part of a query and the parts below it.
 func readRPN(e *ber.Element, depth int, nodes *int) (*query.RPN, error) {
 	if *nodes++; *nodes > query.MaxNodes || depth > query.MaxDepth {
 		return nil, fmt.Errorf("more than %d parts, or %d deep", query.MaxNodes, query.MaxDepth)
@@ -49,24 +50,36 @@
 			}
 			return fmt.Errorf("operand %d", x.Tag)
 		})
-	case e.IsContext(1): // two operands and an operator
-		return r, e.Each(func(x *ber.Element) (err error) {
-			switch {
-			case x.IsContext(46):
-				return readOperator(x, r)
-			case r.Left == nil:
-				r.Left, err = readRPN(x, depth+1, nodes)
-			case r.Right == nil:
-				r.Right, err = readRPN(x, depth+1, nodes)
-			default:
-				err = errors.New("three operands")
-			}
-			return err
-		})
+	case e.IsContext(1):
+		return r, readOperation(e, r, depth, nodes)
 	}
 	return nil, fmt.Errorf("part %d", e.Tag)
 }
 
+// readOperation decodes two operands and the operator that joins them.
+func readOperation(e *ber.Element, r *query.RPN, depth int, nodes *int) error {
+	var operands []query.RPN
+	err := e.Each(func(x *ber.Element) error {
+		if x.IsContext(46) {
+			return readOperator(x, r)
+		}
+		operand, err := readRPN(x, depth+1, nodes)
+		if err != nil {
+			return err
+		}
+		operands = append(operands, *operand)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if len(operands) != 2 {
+		return fmt.Errorf("an operator with %d operands instead of 2", len(operands))
+	}
+	r.Operands = (*[2]query.RPN)(operands)
+	return nil
+}
+
 func readOperand(e *ber.Element, r *query.RPN) error {
 	return e.Each(func(x *ber.Element) error {
 		switch {
@@ -180,8 +193,8 @@
 		return
 	}
 	w.Constructed(ber.Context, 1, func(w *ber.Writer) {
-		writeRPN(w, r.Left)
-		writeRPN(w, r.Right)
+		writeRPN(w, &r.Operands[0])
+		writeRPN(w, &r.Operands[1])
 		w.Constructed(ber.Context, 46, func(w *ber.Writer) {
 			if r.Op != query.Prox || len(r.Proximity) != 6 {
 				w.Text(uint32(r.Op), "")
--- a/internal/protocols/z3950/pdu_test.go
+++ b/internal/protocols/z3950/pdu_test.go
@@ -73,7 +73,7 @@
 	}
 	deep := parsePQF(t, strings.Repeat("@and a ", 60)+"a")
 	for range 10 {
-		deep = &query.RPN{Op: query.And, Left: deep, Right: deep}
+		deep = &query.RPN{Op: query.And, Operands: &[2]query.RPN{*deep, *deep}}
 	}
 	for name, b := range map[string][]byte{
 		"a gigabyte":   {0xb6, 0x84, 0x40, 0, 0, 0},
