Z39.50: a search with a missing or doubled part of its query no longer runs as another

Of two operators, two terms or two use attributes one counted; an attribute without a value counted as not given, so that the term was sought in all indexes; a term that is not UTF-8 was sought as its quoted form. Each was answered with the hits of the other query and marked complete.

What is well-formed and has no meaning in Bib-1 gets its diagnostic: 114, 117 to 120 and 122 for a value below 1 or an unknown completeness, 123 for two attributes of a type, 125 for a term that is not UTF-8.

--- a/internal/protocols/query/fromrpn.go
+++ b/internal/protocols/query/fromrpn.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 )
 
 // Query translates a Type-1 query to CQL. Its errors are of type *Fault.
@@ -22,17 +23,15 @@
 		return r.toBoolean()
 	}
 	if r.ResultSet != "" {
+		if !utf8.ValidString(r.ResultSet) {
+			return nil, badResultSet.withDetails(-1, "not UTF-8: %.40q", r.ResultSet)
+		}
 		return &Node{ResultSet: r.ResultSet}, nil
 	}
-	n := &Node{Relation: "="}
-	for _, a := range r.Attributes {
-		if a.Set != "" && a.Set != Bib1 {
-			return nil, badAttributeSet.withDetails(-1, "%.60s", a.Set)
-		}
-		if a.Text != "" || a.Type < Use || a.Type > Completeness {
-			return nil, badAttribute.withDetails(-1, "%d=%d%.40s", a.Type, a.Value, a.Text)
-		}
+	if err := r.checkAttributes(); err != nil {
+		return nil, err
 	}
+	n := &Node{Relation: "="}
 	use := r.attributeValue(Use)
 	if r.attributeValue(Relation) == 103 || use == 1036 {
 		return &Node{Index: "cql.allRecords", Relation: "=", Term: "1"}, nil
@@ -56,7 +55,11 @@
 	default:
 		return nil, badRelation.withDetails(-1, "relation attribute %d", relation)
 	}
-	whole := r.attributeValue(Completeness) == 3 || r.attributeValue(Completeness) == 2
+	completeness := r.attributeValue(Completeness)
+	if completeness > 3 {
+		return nil, badCompleteness.withDetails(-1, "completeness attribute %d", completeness)
+	}
+	whole := completeness == 3 || completeness == 2
 	switch structure := r.attributeValue(Structure); {
 	case structure == 0 || structure == 6:
 	case structure == 1 && whole:
@@ -73,7 +76,7 @@
 		return nil, badModifier.withDetails(-1, "structure attribute %d", structure)
 	}
 	if position := r.attributeValue(Position); position > 1 && position != 3 || position == 1 && !whole {
-		return nil, Fault{10, 119, "", -1}.withDetails(-1, "position attribute %d", position)
+		return nil, badPosition.withDetails(-1, "position attribute %d", position)
 	}
 	n.Term = escapeTerm(r.Term)
 	switch truncation := r.attributeValue(Truncation); truncation {
@@ -90,9 +93,31 @@
 	if r.Term == "" {
 		return nil, emptyTerm.withDetails(-1, "%s", n.Index)
 	}
+	if !utf8.ValidString(r.Term) {
+		return nil, malformedTerm.withDetails(-1, "not UTF-8: %.40q", r.Term)
+	}
 	return n, nil
 }
 
+// checkAttributes returns an error unless each attribute is of Bib-1, has a value, and is the only one of its type.
+func (r *RPN) checkAttributes() error {
+	var given [Completeness + 1]bool
+	for _, a := range r.Attributes {
+		switch {
+		case a.Set != "" && a.Set != Bib1:
+			return badAttributeSet.withDetails(-1, "%.60s", a.Set)
+		case a.Text != "" || a.Type < Use || a.Type > Completeness:
+			return badAttribute.withDetails(-1, "%d=%d%.40s", a.Type, a.Value, a.Text)
+		case a.Value < 1: // no attribute has such a value, and 0 would count as not given
+			return zeroAttributes[a.Type].withDetails(-1, "%d=%d", a.Type, a.Value)
+		case given[a.Type]:
+			return badCombination.withDetails(-1, "two attributes of type %d", a.Type)
+		}
+		given[a.Type] = true
+	}
+	return nil
+}
+
 // toBoolean translates an operator and its operands.
 func (r *RPN) toBoolean() (*Node, error) {
 	n := &Node{Op: r.Op, Operands: &[2]Node{}}
--- a/internal/protocols/query/query.go
+++ b/internal/protocols/query/query.go
@@ -89,13 +89,21 @@
 	badBoolean          = Fault{37, 110, "", -1} // unsupported boolean operator; operator unsupported
 	badProximity        = Fault{39, 129, "", -1} // proximity not supported; unsupported proximity
 	badMaskingCharacter = Fault{28, 120, "", -1} // masking character not supported; unsupported truncation attribute
+	badPosition         = Fault{10, 119, "", -1} // unsupported position attribute
+	badCompleteness     = Fault{10, 122, "", -1} // unsupported completeness attribute
+	badCombination      = Fault{10, 123, "", -1} // unsupported attribute combination
 	emptyTerm           = Fault{27, 125, "", -1} // empty term unsupported; malformed search term
+	malformedTerm       = Fault{10, 125, "", -1} // malformed search term
 	badSort             = Fault{80, 207, "", -1} // sort not supported; cannot sort according to sequence
 	badResultSet        = Fault{50, 128, "", -1} // result sets not supported; illegal result set name
 	badAttribute        = Fault{10, 113, "", -1} // unsupported attribute type
 	badAttributeSet     = Fault{10, 121, "", -1} // unsupported attribute set
 )
 
+// zeroAttributes has the diagnostic of an attribute without a usable value, by its type.
+var zeroAttributes = [Completeness + 1]Fault{Use: badIndex, Relation: badRelation, Position: badPosition, Structure: badModifier,
+	Truncation: badMaskingCharacter, Completeness: badCompleteness}
+
 func (f Fault) withDetails(at int, format string, args ...any) *Fault {
 	f.Pos, f.Details = at, fmt.Sprintf(format, args...)
 	return &f
