SRU, Z39.50: a node's response that lacks its count or a record is no longer an answer

What callers saw: a node's search response without its count was served as "no hits", complete; a record that lacked its body, or whose form is not known, was served as an empty record. Both by Z39.50; by SRU a record without recordData, and of two counts the last.

Of SRU only the missing count had been thought of.

Change: a response has each of its members once, and those whose zero value would be taken for one that was sent must come; a record has one body with its syntax, or a surrogate diagnostic. Such a response ends the connection, as other protocol errors of nodes do: the attempt may have run. The same holds for presents and inits of clients. InitRequest encodes a group or password without a user, which it dropped.

--- a/internal/protocols/sru/explain.go
+++ b/internal/protocols/sru/explain.go
@@ -59,12 +59,12 @@
 func ParseResponse(b []byte) (*Response, error) {
 	var doc struct {
 		XMLName xml.Name
-		Count   *int `xml:"numberOfRecords"`
+		Counts  []int `xml:"numberOfRecords"`
 		Records []struct {
 			Schema   string `xml:"recordSchema"`
 			Packing  string `xml:"recordPacking"`
 			Escaping string `xml:"recordXMLEscaping"`
-			Data     struct {
+			Data     []struct {
 				Inner []byte `xml:",innerxml"`
 				Text  string `xml:",chardata"`
 			} `xml:"recordData"`
@@ -81,17 +81,21 @@
 	if err := xml.Unmarshal(b, &doc); err != nil {
 		return nil, fmt.Errorf("sru: response: %w", err)
 	}
-	if doc.XMLName.Local != "searchRetrieveResponse" || doc.Count == nil || *doc.Count < 0 {
-		return nil, fmt.Errorf("sru: response: %.40q is not a searchRetrieveResponse with numberOfRecords", doc.XMLName.Local)
+	if doc.XMLName.Local != "searchRetrieveResponse" || len(doc.Counts) != 1 || doc.Counts[0] < 0 {
+		return nil, fmt.Errorf("sru: response: %.40q is not a searchRetrieveResponse with one numberOfRecords", doc.XMLName.Local)
 	}
-	r := &Response{Count: *doc.Count}
-	for _, x := range doc.Records {
-		record := Record{Schema: x.Schema, Body: bytes.TrimSpace(x.Data.Inner)}
+	r := &Response{Count: doc.Counts[0]}
+	for i, x := range doc.Records {
+		if len(x.Data) != 1 {
+			return nil, fmt.Errorf("sru: response: record %d has %d elements recordData instead of 1", i+1, len(x.Data))
+		}
+		data := x.Data[0]
+		record := Record{Schema: x.Schema, Body: bytes.TrimSpace(data.Inner)}
 		if x.Packing == "string" || x.Escaping == "string" {
-			record.Body = []byte(x.Data.Text)
+			record.Body = []byte(data.Text)
 		}
 		if strings.HasPrefix(x.Schema, "info:srw/schema/1/diagnostics") {
-			record.Fault = NewDiagnostic(65, "%.100s", x.Data.Text)
+			record.Fault = NewDiagnostic(65, "%.100s", data.Text)
 		}
 		r.Records = append(r.Records, record)
 	}
--- a/internal/protocols/z3950/codec.go
+++ b/internal/protocols/z3950/codec.go
@@ -112,8 +112,24 @@
 	return m, nil
 }
 
-// fieldReader decodes fields and keeps the first error, so that callers need not check each field.
-type fieldReader struct{ err error }
+// fieldReader decodes the fields of a message and keeps the first error, so that callers need not check each field.
+type fieldReader struct {
+	err     error
+	members presence
+}
+
+// sequence calls visit for each member of a message, none of which may come twice.
+func (r *fieldReader) sequence(e *ber.Element, visit func(*ber.Element) error) {
+	r.keepError(e.Each(func(x *ber.Element) error {
+		if err := r.members.add(x); err != nil {
+			return err
+		}
+		return visit(x)
+	}))
+}
+
+// require records an error if a member is missing whose zero value would be taken for one that was sent.
+func (r *fieldReader) require(tags ...uint32) { r.keepError(r.members.require(tags...)) }
 
 func (r *fieldReader) int(e *ber.Element, to *int) {
 	n, err := e.Int()
--- a/internal/protocols/z3950/ending.go
+++ b/internal/protocols/z3950/ending.go
@@ -12,7 +12,7 @@
 
 func (m *DeleteRequest) read(e *ber.Element) error {
 	var r fieldReader
-	r.keepError(e.Each(func(x *ber.Element) error {
+	r.sequence(e, func(x *ber.Element) error {
 		switch {
 		case x.IsContext(2):
 			m.readReferenceID(&r, x)
@@ -31,7 +31,7 @@
 			})
 		}
 		return r.err
-	}))
+	})
 	return r.err
 }
 
@@ -55,7 +55,7 @@
 
 func (m *DeleteResponse) read(e *ber.Element) error {
 	var r fieldReader
-	r.keepError(e.Each(func(x *ber.Element) error {
+	r.sequence(e, func(x *ber.Element) error {
 		switch {
 		case x.IsContext(2):
 			m.readReferenceID(&r, x)
@@ -63,7 +63,7 @@
 			r.int(x, &m.Status)
 		}
 		return r.err
-	}))
+	})
 	return r.err
 }
 
@@ -76,7 +76,7 @@
 
 func (m *Close) read(e *ber.Element) error {
 	var r fieldReader
-	r.keepError(e.Each(func(x *ber.Element) error {
+	r.sequence(e, func(x *ber.Element) error {
 		switch {
 		case x.IsContext(2):
 			m.readReferenceID(&r, x)
@@ -86,7 +86,7 @@
 			r.text(x, &m.Text)
 		}
 		return r.err
-	}))
+	})
 	return r.err
 }
 
--- a/internal/protocols/z3950/init.go
+++ b/internal/protocols/z3950/init.go
@@ -8,7 +8,7 @@
 
 func (m *InitRequest) read(e *ber.Element, accepted *bool) error {
 	var r fieldReader
-	r.keepError(e.Each(func(x *ber.Element) error {
+	r.sequence(e, func(x *ber.Element) error {
 		switch {
 		case x.IsContext(2):
 			m.readReferenceID(&r, x)
@@ -33,7 +33,10 @@
 			r.text(x, &m.ImplementationVersion)
 		}
 		return r.err
-	}))
+	})
+	if accepted != nil {
+		r.require(12)
+	}
 	return r.err
 }
 
@@ -88,7 +91,7 @@
 	if accepted != nil {
 		w.Bool(12, *accepted)
 	}
-	if m.User != "" && accepted == nil {
+	if accepted == nil && (m.User != "" || m.Group != "" || m.Password != "") {
 		w.Constructed(ber.Context, 7, func(w *ber.Writer) {
 			w.Constructed(ber.Universal, ber.TagSequence, func(w *ber.Writer) {
 				if m.Group != "" {
--- a/internal/protocols/z3950/records.go
+++ b/internal/protocols/z3950/records.go
@@ -3,6 +3,7 @@
 // This file encodes and decodes records and diagnostics.
 
 import (
+	"errors"
 	"fmt"
 
 	"flaxfront/internal/protocols/ber"
@@ -10,8 +11,14 @@
 
 const maxRecords = 10_000
 
-// read decodes a response's field if it has the records or the diagnostics, and ignores any other.
+// read decodes a response's field if it has the records or the diagnostics, of which a response has one, and ignores any other.
 func (r *Records) read(e *ber.Element) error {
+	if !e.IsContext(28) && !e.IsContext(130) && !e.IsContext(205) {
+		return nil
+	}
+	if r.All != nil || r.Fault != nil {
+		return errors.New("records or diagnostics are given twice")
+	}
 	switch {
 	case e.IsContext(28): // records
 		return e.Each(func(x *ber.Element) error {
@@ -28,63 +35,87 @@
 		f, err := readFault(e)
 		r.Fault = f
 		return err
-	case e.IsContext(205): // several non-surrogate diagnostics, of which the first is kept
-		return e.Each(func(x *ber.Element) error {
-			f, err := readFault(x)
-			if r.Fault == nil {
-				r.Fault = f
-			}
-			return err
-		})
 	}
-	return nil
+	return e.Each(func(x *ber.Element) error { // several non-surrogate diagnostics, of which the first is kept
+		f, err := readFault(x)
+		if r.Fault == nil {
+			r.Fault = f
+		}
+		return err
+	})
 }
 
 func (r *Record) read(e *ber.Element) error {
-	return e.Each(func(x *ber.Element) error {
+	var members presence
+	err := e.Each(func(x *ber.Element) error {
+		if err := members.add(x); err != nil {
+			return err
+		}
 		switch {
 		case x.IsContext(0):
 			b, err := x.Bytes()
 			r.Database = validText(b)
 			return err
 		case x.IsContext(1):
-			return x.Each(func(y *ber.Element) error { return r.readBody(y) })
+			return r.readBody(x)
 		}
 		return nil
 	})
+	if err == nil {
+		err = members.require(1)
+	}
+	return err
 }
 
+// readBody decodes what stands for a record: a retrieval record, or a surrogate diagnostic.
 func (r *Record) readBody(e *ber.Element) error {
+	body, err := onlyChild(e)
+	if err != nil {
+		return err
+	}
+	content, err := onlyChild(&body)
 	switch {
-	case e.IsContext(1): // retrieval record, an EXTERNAL
-		return e.Each(func(x *ber.Element) error { return r.readExternal(x) })
-	case e.IsContext(2): // surrogate diagnostic
-		return e.Each(func(x *ber.Element) (err error) {
-			r.Fault, err = readFault(x)
-			return err
-		})
+	case err != nil:
+		return err
+	case body.IsContext(1):
+		return r.readExternal(&content)
+	case body.IsContext(2):
+		r.Fault, err = readFault(&content)
+		return err
 	}
-	return nil
+	return fmt.Errorf("record of type %d", body.Tag)
 }
 
+// readExternal decodes a retrieval record, an EXTERNAL: its syntax and its body in one encoding.
 func (r *Record) readExternal(e *ber.Element) error {
-	return e.Each(func(x *ber.Element) (err error) {
+	syntaxes, encodings := 0, 0
+	err := e.Each(func(x *ber.Element) (err error) {
 		switch {
 		case x.IsUniversal(ber.TagOID):
+			syntaxes++
 			r.Syntax, err = x.OID()
 		case x.IsContext(1): // octet-aligned
-			var b []byte
-			b, err = x.Bytes()
-			r.Body = append([]byte(nil), b...)
+			encodings++
+			err = r.readBytes(x)
 		case x.IsContext(0): // single-ASN1-type: SUTRS is a string
-			err = x.Each(func(y *ber.Element) error {
-				b, err := y.Bytes()
-				r.Body = append([]byte(nil), b...)
-				return err
-			})
+			encodings++
+			var text ber.Element
+			if text, err = onlyChild(x); err == nil {
+				err = r.readBytes(&text)
+			}
 		}
 		return err
 	})
+	if err == nil && (syntaxes != 1 || encodings != 1) {
+		err = fmt.Errorf("a record with %d syntaxes and %d bodies instead of 1 and 1", syntaxes, encodings)
+	}
+	return err
+}
+
+func (r *Record) readBytes(e *ber.Element) error {
+	b, err := e.Bytes()
+	r.Body = append([]byte(nil), b...)
+	return err
 }
 
 // readFault decodes a diagnostic's condition code and its additional information.
--- a/internal/protocols/z3950/searching.go
+++ b/internal/protocols/z3950/searching.go
@@ -10,7 +10,7 @@
 
 func (m *SearchRequest) read(e *ber.Element) error {
 	var r fieldReader
-	r.keepError(e.Each(func(x *ber.Element) error {
+	r.sequence(e, func(x *ber.Element) error {
 		switch {
 		case x.IsContext(2):
 			m.readReferenceID(&r, x)
@@ -39,7 +39,7 @@
 			r.keepError(m.readQuery(x))
 		}
 		return r.err
-	}))
+	})
 	if r.err == nil && m.Query == nil {
 		r.err = errors.New("no Type-1 query")
 	}
@@ -68,7 +68,7 @@
 
 func (m *SearchResponse) read(e *ber.Element) error {
 	var r fieldReader
-	r.keepError(e.Each(func(x *ber.Element) error {
+	r.sequence(e, func(x *ber.Element) error {
 		switch {
 		case x.IsContext(2):
 			m.readReferenceID(&r, x)
@@ -88,7 +88,8 @@
 			r.keepError(m.Records.read(x))
 		}
 		return r.err
-	}))
+	})
+	r.require(22, 23, 24, 25)
 	return r.err
 }
 
@@ -111,7 +112,7 @@
 
 func (m *PresentRequest) read(e *ber.Element) error {
 	var r fieldReader
-	r.keepError(e.Each(func(x *ber.Element) error {
+	r.sequence(e, func(x *ber.Element) error {
 		switch {
 		case x.IsContext(2):
 			m.readReferenceID(&r, x)
@@ -132,7 +133,8 @@
 			r.oid(x, &m.Syntax)
 		}
 		return r.err
-	}))
+	})
+	r.require(29, 30, 31)
 	return r.err
 }
 
@@ -153,7 +155,7 @@
 
 func (m *PresentResponse) read(e *ber.Element) error {
 	var r fieldReader
-	r.keepError(e.Each(func(x *ber.Element) error {
+	r.sequence(e, func(x *ber.Element) error {
 		switch {
 		case x.IsContext(2):
 			m.readReferenceID(&r, x)
@@ -167,7 +169,8 @@
 			r.keepError(m.Records.read(x))
 		}
 		return r.err
-	}))
+	})
+	r.require(24, 25, 27)
 	return r.err
 }
 
