SRU, Z39.50: a long query is translated so that nodes can read it, or refused with a diagnostic

What callers saw: a search for 70 or more alternatives ("a or b or ..."), for 70 words of a title, or with many attributes was accepted, and then failed at every SRU and Z39.50 node: the broker's own connection to the node can't parse the statement and counts the attempt as failed there. So one client's query counts against healthy nodes. Later pages of a Z39.50 result set failed in the same way.

Cause: the tree of a query has several builders (BER, CQL, PQF) with bounds of their own. PQF counted each attribute as a part and as a level of nesting, and bounded the text; CQL and BER bound neither, and left-associative CQL makes a tree as deep as its list is long.

Change: PQF counts operands and operators only, as BER does; attributes are bounded for a part. The translation joins alternatives as a balanced tree (three keep the form that they had), so that a list does not nest. What still exceeds a bound of ParsePQF is refused by the translation, in both directions: diagnostic 38 of SRU, 6 of Bib-1, which was 0.

--- a/internal/protocols/front/sru/front_test.go
+++ b/internal/protocols/front/sru/front_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/cookiejar"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -183,3 +184,16 @@
 		resp.Body.Close()
 	}
 }
+
+// Guards against a list of alternatives that every node fails, as the text of the translated query can't be parsed there.
+func TestLongListOfAlternatives(t *testing.T) {
+	f := startFront(t, archive.New(archive.DublinCoreRecord))
+	a, _ := get(t, f, "query="+url.QueryEscape(strings.Repeat("a or ", 200)+"a"))
+	if a.Count != 30 || len(a.Diagnostics) > 0 {
+		t.Errorf("%d records, diagnostics %+v", a.Count, a.Diagnostics)
+	}
+	a, _ = get(t, f, "query="+url.QueryEscape(strings.Repeat("a not ", 100)+"a"))
+	if len(a.Diagnostics) != 1 || !strings.HasSuffix(a.Diagnostics[0].URI, "/38") {
+		t.Errorf("diagnostics of a query that is too deep: %+v", a.Diagnostics)
+	}
+}
--- a/internal/protocols/query/fromrpn.go
+++ b/internal/protocols/query/fromrpn.go
@@ -11,6 +11,9 @@
 
 // Query translates a Type-1 query to CQL. Its errors are of type *Fault.
 func (r *RPN) Query() (*Query, error) {
+	if err := r.checkBounds(); err != nil {
+		return nil, err
+	}
 	root, err := r.toNode()
 	if err != nil {
 		return nil, err
--- a/internal/protocols/query/pqf.go
+++ b/internal/protocols/query/pqf.go
@@ -3,7 +3,8 @@
 // This file parses and prints Type-1 queries in PQF.
 
 import (
-	"fmt"
+	"cmp"
+	"slices"
 	"strconv"
 	"strings"
 	"unicode/utf8"
@@ -101,124 +102,123 @@
 	return name, nil
 }
 
+// parseNode parses an operand or an operator with its operands, behind the attributes that are given to all operands of it.
 func (p *pqfParser) parseNode(depth int) (*RPN, error) {
+	attributes, err := p.parseAttributes()
+	if err != nil {
+		return nil, err
+	}
 	if p.nodes++; p.nodes > MaxNodes || depth > MaxDepth {
 		return nil, tooComplex.withDetails(-1, "more than %d parts, or %d deep", MaxNodes, MaxDepth)
 	}
+	r, err := p.parsePart(depth)
+	if err != nil {
+		return nil, err
+	}
+	for _, a := range slices.Backward(attributes) { // the innermost counts, of several of a type
+		if err := r.addAttribute(a); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+func (p *pqfParser) parsePart(depth int) (*RPN, error) {
 	if p.pos >= len(p.words) {
 		return nil, syntaxError.withDetails(-1, "something is missing at the end")
 	}
 	w := p.currentWord()
 	p.pos++
-	switch w {
-	case "@and", "@or", "@not", "@prox":
-		r := &RPN{Op: map[string]Op{"@and": And, "@or": Or, "@not": Not, "@prox": Prox}[w]}
-		if r.Op == Prox {
-			for range 6 {
-				n, err := strconv.Atoi(map[string]string{"k": "1", "p": "2", "known": "1", "private": "2", "void": "0"}[p.currentWord()])
-				if err != nil {
-					if n, err = strconv.Atoi(p.currentWord()); err != nil {
-						return nil, badProximity.withDetails(-1, "%.40q is no number", p.currentWord())
-					}
-				}
-				r.Proximity = append(r.Proximity, n)
-				p.pos++
-			}
-		}
-		r.Operands = &[2]RPN{}
-		for i := range r.Operands {
-			operand, err := p.parseNode(depth + 1)
-			if err != nil {
-				return nil, err
-			}
-			r.Operands[i] = *operand
-		}
-		return r, nil
-	case "@set":
+	if op, ok := pqfOperators[w]; ok {
+		return p.parseOperation(op, depth)
+	}
+	if w == "@set" {
 		if p.currentWord() == "" {
 			return nil, badResultSet.withDetails(-1, "@set needs a name")
 		}
 		p.pos++
 		return &RPN{ResultSet: strings.TrimPrefix(p.words[p.pos-1], "\x00")}, nil
-	case "@attr":
-		a := Attribute{}
-		text := p.currentWord()
-		p.pos++
-		if !strings.Contains(text, "=") { // this attribute names its own attribute set
-			var err error
-			if a.Set, err = attributeSetOID(text); err != nil {
+	}
+	if strings.HasPrefix(w, "@") {
+		return nil, syntaxError.withDetails(-1, "%.40q", w)
+	}
+	return &RPN{Term: strings.TrimPrefix(w, "\x00")}, nil
+}
+
+var pqfOperators = map[string]Op{"@and": And, "@or": Or, "@not": Not, "@prox": Prox}
+
+// parseOperation parses what follows the name of an operator.
+func (p *pqfParser) parseOperation(op Op, depth int) (*RPN, error) {
+	r := &RPN{Op: op, Operands: &[2]RPN{}}
+	if op == Prox {
+		for range 6 {
+			n, err := parseProximityParameter(p.currentWord())
+			if err != nil {
 				return nil, err
 			}
-			text = p.currentWord()
+			r.Proximity = append(r.Proximity, n)
 			p.pos++
 		}
-		kind, value, ok := strings.Cut(text, "=")
-		var err error
-		if a.Type, err = strconv.Atoi(kind); err != nil || !ok || a.Type < 1 || value == "" {
-			return nil, badAttribute.withDetails(-1, "@attr %.40q", text)
-		}
-		if a.Value, err = strconv.Atoi(value); err != nil || a.Value < 0 {
-			a.Value, a.Text = 0, value
-		}
-		r, err := p.parseNode(depth + 1)
-		if err == nil {
-			err = r.addAttribute(a)
-		}
-		return r, err
-	case "@term":
-		p.pos++ // skips the term's type: every term is sent as a general one
-		return p.parseNode(depth + 1)
 	}
-	if strings.HasPrefix(w, "@") {
-		return nil, syntaxError.withDetails(-1, "%.40q", w)
+	for i := range r.Operands {
+		operand, err := p.parseNode(depth + 1)
+		if err != nil {
+			return nil, err
+		}
+		r.Operands[i] = *operand
 	}
-	return &RPN{Term: strings.TrimPrefix(w, "\x00")}, nil
+	return r, nil
 }
 
-// PQF returns the query's text, which ParsePQF parses back into the same query.
-func (r *RPN) PQF() string {
-	var b strings.Builder
-	r.writePQF(&b)
-	return b.String()
+// proximityNames are the names that PQF has for numbers among the parameters of proximity.
+var proximityNames = map[string]string{"k": "1", "p": "2", "known": "1", "private": "2", "void": "0"}
+
+func parseProximityParameter(word string) (int, error) {
+	n, err := strconv.Atoi(cmp.Or(proximityNames[word], word))
+	if err != nil {
+		return 0, badProximity.withDetails(-1, "%.40q is no number", word)
+	}
+	return n, nil
 }
 
-func (r *RPN) writePQF(b *strings.Builder) {
-	switch {
-	case !r.IsOperand():
-		b.WriteString("@" + r.Op.String() + " ")
-		for _, n := range r.Proximity {
-			fmt.Fprintf(b, "%d ", n)
-		}
-		r.Operands[0].writePQF(b)
-		b.WriteByte(' ')
-		r.Operands[1].writePQF(b)
-	case r.ResultSet != "":
-		b.WriteString("@set ")
-		writePQFTerm(b, r.ResultSet)
-	default:
-		for _, a := range r.Attributes {
-			b.WriteString("@attr ")
-			if a.Set != "" {
-				b.WriteString(a.Set + " ")
+// parseAttributes parses the attributes and types of terms before a part. Types are skipped: every term is sent as a general one.
+func (p *pqfParser) parseAttributes() (all []Attribute, err error) {
+	for {
+		switch p.currentWord() {
+		case "@attr":
+			p.pos++
+			a, err := p.parseAttribute()
+			if err != nil {
+				return nil, err
 			}
-			if a.Text != "" {
-				fmt.Fprintf(b, "%d=%s ", a.Type, a.Text)
-			} else {
-				fmt.Fprintf(b, "%d=%d ", a.Type, a.Value)
+			if all = append(all, a); len(all) > MaxDepth {
+				return nil, badAttribute.withDetails(-1, "more than %d attributes of one part", MaxDepth)
 			}
+		case "@term":
+			p.pos += 2
+		default:
+			return all, nil
 		}
-		writePQFTerm(b, r.Term)
 	}
 }
 
-// writePQFTerm writes a term, always in quotes, so that it is not taken for a command.
-func writePQFTerm(b *strings.Builder, text string) {
-	b.WriteByte('"')
-	for i := range len(text) {
-		if text[i] == '"' || text[i] == '\\' {
-			b.WriteByte('\\')
+// parseAttribute parses [SET] TYPE=VALUE, what follows @attr.
+func (p *pqfParser) parseAttribute() (a Attribute, err error) {
+	text := p.currentWord()
+	p.pos++
+	if !strings.Contains(text, "=") { // this attribute names its own attribute set
+		if a.Set, err = attributeSetOID(text); err != nil {
+			return a, err
 		}
-		b.WriteByte(text[i])
+		text = p.currentWord()
+		p.pos++
+	}
+	kind, value, ok := strings.Cut(text, "=")
+	if a.Type, err = strconv.Atoi(kind); err != nil || !ok || a.Type < 1 || value == "" {
+		return a, badAttribute.withDetails(-1, "@attr %.40q", text)
+	}
+	if a.Value, err = strconv.Atoi(value); err != nil || a.Value < 0 {
+		a.Value, a.Text = 0, value
 	}
-	b.WriteByte('"')
+	return a, nil
 }
--- a/internal/protocols/query/query.go
+++ b/internal/protocols/query/query.go
@@ -82,7 +82,7 @@
 // Diagnostics of queries, with the message of the SRU diagnostic and of the Bib-1 diagnostic.
 var (
 	syntaxError         = Fault{10, 108, "", -1} // query syntax error; malformed query
-	tooComplex          = Fault{38, 0, "", -1}   // too many boolean operators
+	tooComplex          = Fault{38, 6, "", -1}   // too many boolean operators
 	badIndex            = Fault{16, 114, "", -1} // unsupported index; unsupported use attribute
 	badRelation         = Fault{19, 117, "", -1} // unsupported relation; unsupported relation attribute
 	badModifier         = Fault{20, 118, "", -1} // unsupported relation modifier; unsupported structure attribute
--- a/internal/protocols/query/rpn.go
+++ b/internal/protocols/query/rpn.go
@@ -58,6 +58,37 @@
 	return nil
 }
 
+// checkBounds returns an error if the query exceeds a bound of ParsePQF, by which a node's connection reads its text.
+func (r *RPN) checkBounds() error {
+	nodes := 0
+	if depth := r.measure(&nodes); depth > MaxDepth || nodes > MaxNodes {
+		return tooComplex.withDetails(-1, "%d parts, %d deep; %d and %d at most", nodes, depth, MaxNodes, MaxDepth)
+	}
+	if size := len(r.PQF()); size > MaxText {
+		return tooComplex.withDetails(-1, "%d bytes as PQF, %d at most", size, MaxText)
+	}
+	return nil
+}
+
+// measure adds the number of the query's operands and operators to nodes, and returns how deep its operators are nested.
+func (r *RPN) measure(nodes *int) (depth int) {
+	*nodes++
+	if r.IsOperand() {
+		return 0
+	}
+	return 1 + max(r.Operands[0].measure(nodes), r.Operands[1].measure(nodes))
+}
+
+// join returns the operands, of which there is at least one, joined by an associative operator into a tree that is as flat as can be: a long
+// list of alternatives does not exceed MaxDepth.
+func join(op Op, operands []RPN) *RPN {
+	if len(operands) == 1 {
+		return &operands[0]
+	}
+	half := (len(operands) + 1) / 2
+	return &RPN{Op: op, Operands: &[2]RPN{*join(op, operands[:half]), *join(op, operands[half:])}}
+}
+
 // attributeValue returns the value of the Bib-1 attribute of a type, or 0 if there is none.
 func (r *RPN) attributeValue(kind int) int {
 	for _, a := range r.Attributes {
--- a/internal/protocols/query/translate.go
+++ b/internal/protocols/query/translate.go
@@ -39,7 +39,14 @@
 	if len(q.Sort) > 0 {
 		return nil, badSort.withDetails(-1, "sortby %.40q: Type-1 has no order; Z39.50 sorts result sets", q.Sort[0].Index)
 	}
-	return q.Root.toRPN()
+	r, err := q.Root.toRPN()
+	if err != nil {
+		return nil, err
+	}
+	if err := r.checkBounds(); err != nil {
+		return nil, err
+	}
+	return r, nil
 }
 
 func (n *Node) toRPN() (*RPN, error) {
@@ -50,7 +57,14 @@
 		if len(n.Modifiers) > 0 {
 			return nil, badBoolean.withDetails(-1, "%s/%.40s", n.Op, n.Modifiers[0].Name)
 		}
-		return n.joinOperands(&RPN{Op: n.Op})
+		if n.Op == Not {
+			return n.joinOperands(&RPN{Op: n.Op})
+		}
+		operands, err := n.appendOperands(n.Op, nil)
+		if err != nil {
+			return nil, err
+		}
+		return join(n.Op, operands), nil
 	}
 	if n.ResultSet != "" {
 		return &RPN{ResultSet: n.ResultSet}, nil
@@ -122,6 +136,22 @@
 	return r, nil
 }
 
+// appendOperands translates the parts that an associative operator without modifiers joins, also over several of its nodes.
+func (n *Node) appendOperands(op Op, all []RPN) ([]RPN, error) {
+	if n.IsClause() || n.Op != op || len(n.Modifiers) > 0 {
+		r, err := n.toRPN()
+		if err != nil {
+			return nil, err
+		}
+		return append(all, *r), nil
+	}
+	all, err := n.Operands[0].appendOperands(op, all)
+	if err != nil {
+		return nil, err
+	}
+	return n.Operands[1].appendOperands(op, all)
+}
+
 // joinOperands translates the operands of a boolean operator into those of the operator r.
 func (n *Node) joinOperands(r *RPN) (*RPN, error) {
 	r.Operands = &[2]RPN{}
@@ -147,19 +177,18 @@
 
 // expandWords joins one clause for each word by op, as Bib-1 has no attribute for the relations any and all.
 func (n *Node) expandWords(words []string, op Op) (*RPN, error) {
-	var all *RPN
+	if len(words) > MaxNodes {
+		return nil, tooComplex.withDetails(-1, "%d words", len(words))
+	}
+	var all []RPN
 	for _, w := range words {
 		clause, err := (&Node{Index: n.Index, Relation: "=", Term: w, Modifiers: n.Modifiers}).toRPN()
 		if err != nil {
 			return nil, err
 		}
-		if all == nil {
-			all = clause
-		} else {
-			all = &RPN{Op: op, Operands: &[2]RPN{*all, *clause}}
-		}
+		all = append(all, *clause)
 	}
-	return all, nil
+	return join(op, all), nil
 }
 
 // parseMasks removes masking characters and escapes from a term and returns the truncation attribute: 1 for a trailing *, 2 for a
