Z39.50: a fuzz target that spoils elements of valid messages; bounds of object identifiers agree

Cause: the fuzz target of decoding found no lost operand in millions of executions, as random bytes rarely stay well-formed, and stopped at the decoder. FuzzSpoiltElements spoils elements, several times over, and goes on to the statement and CQL.

What exploring found: FuzzDecode, on the text before, "does not decode after encoding" within 13 s: an object identifier with an arc above 32 bits was decoded, and encoded as an empty one. Decoder and encoder have the same bounds now, 32 arcs of 32 bits. Callers met nothing of it: the fronts and the connections to nodes compare identifiers and encode only their own.

--- a/internal/protocols/ber/element.go
+++ b/internal/protocols/ber/element.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 )
 
@@ -68,23 +69,29 @@
 	return !e.Constructed && len(e.Body) > 1+n/8 && e.Body[1+n/8]&(0x80>>(n%8)) != 0
 }
 
-// OID returns the value of an object identifier in dotted form.
+// OID returns the value of an object identifier in dotted form. It has the bounds of EncodeOID: what it returns can be encoded.
 func (e *Element) OID() (string, error) {
-	if e.Constructed || len(e.Body) == 0 || len(e.Body) > 64 {
+	if e.Constructed || len(e.Body) == 0 || len(e.Body) > maxOIDArcs*5 {
 		return "", fmt.Errorf("%w: an object identifier of %d bytes", ErrMalformed, len(e.Body))
 	}
 	var b strings.Builder
-	n, first := uint64(0), true
+	n, first, arcs := uint64(0), true, 1
 	for i, c := range e.Body {
-		if n > 1<<50 || n == 0 && c == 0x80 {
+		if n == 0 && c == 0x80 {
 			return "", fmt.Errorf("%w: object identifier", ErrMalformed)
 		}
-		if n = n<<7 | uint64(c&0x7f); c&0x80 != 0 {
+		if n = n<<7 | uint64(c&0x7f); n > math.MaxUint32 {
+			return "", fmt.Errorf("%w: object identifier with an arc above 32 bits", ErrMalformed)
+		}
+		if c&0x80 != 0 {
 			if i == len(e.Body)-1 {
 				return "", fmt.Errorf("%w: object identifier", ErrMalformed)
 			}
 			continue
 		}
+		if arcs++; arcs > maxOIDArcs {
+			return "", fmt.Errorf("%w: object identifier of more than %d arcs", ErrMalformed, maxOIDArcs)
+		}
 		if first {
 			top := min(n/40, 2)
 			fmt.Fprintf(&b, "%d.%d", top, n-40*top)
--- a/internal/protocols/ber/write.go
+++ b/internal/protocols/ber/write.go
@@ -114,10 +114,13 @@
 	w.b = AppendElement(w.b, class, tag, true, inner.b)
 }
 
+// maxOIDArcs bounds the arcs of an object identifier, each of which has at most 32 bits.
+const maxOIDArcs = 32
+
 // EncodeOID returns the contents of an object identifier that is given in dotted form. It reports false if the form is invalid.
 func EncodeOID(dotted string) (b []byte, ok bool) {
 	parts := strings.Split(dotted, ".")
-	if len(parts) < 2 || len(parts) > 32 {
+	if len(parts) < 2 || len(parts) > maxOIDArcs {
 		return nil, false
 	}
 	var n []uint64
--- a/internal/protocols/z3950/spoilt_test.go
+++ b/internal/protocols/z3950/spoilt_test.go
@@ -61,18 +61,25 @@
 }
 
 var spoilers = []spoiler{
-	{"dropped", false, func(p *tree, i int, _ *tree) { p.children = slices.Delete(p.children, i, i+1) }},
-	{"doubled", false, func(p *tree, i int, _ *tree) { p.children = slices.Insert(p.children, i, p.children[i]) }},
-	{"emptied", false, func(p *tree, i int, _ *tree) { p.children[i] = &tree{Element: emptied(p.children[i].Element)} }},
+	{"dropped", false, func(p *tree, i int, _ *tree) { p.replaceChild(i) }},
+	{"doubled", false, func(p *tree, i int, _ *tree) { p.replaceChild(i, p.children[i], p.children[i]) }},
+	{"emptied", false, func(p *tree, i int, _ *tree) { p.replaceChild(i, &tree{Element: emptied(p.children[i].Element)}) }},
 	{"moved", false, func(p *tree, i int, _ *tree) {
-		p.children = append(slices.Delete(slices.Clone(p.children), i, i+1), p.children[i])
+		moved := p.children[i]
+		p.replaceChild(i)
+		p.replaceChild(len(p.children), moved)
 	}},
 	{"retagged", true, func(p *tree, i int, other *tree) {
 		n := *p.children[i]
 		n.Class, n.Tag = other.Class, other.Tag
-		p.children[i] = &n
+		p.replaceChild(i, &n)
 	}},
-	{"replaced", true, func(p *tree, i int, other *tree) { p.children[i] = other }},
+	{"replaced", true, func(p *tree, i int, other *tree) { p.replaceChild(i, other) }},
+}
+
+// replaceChild puts any number of elements in the place of a child, or behind the last. The slice is copied, as other elements may share it.
+func (n *tree) replaceChild(i int, by ...*tree) {
+	n.children = slices.Concat(n.children[:i], by, n.children[min(i+1, len(n.children)):])
 }
 
 func emptied(e ber.Element) ber.Element {
@@ -139,3 +146,26 @@
 		}
 	}
 }
+
+// FuzzSpoiltElements spoils elements of a valid message as often as the input says: a group of four bytes chooses an element, one of its
+// children, how it is spoilt and another element. Random bytes rarely stay well-formed; these always do.
+func FuzzSpoiltElements(f *testing.F) {
+	for i := range testMessages(f) {
+		f.Add(byte(i), []byte{0, 0, 0, 0, 3, 1, 5, 7})
+	}
+	f.Fuzz(func(t *testing.T, message byte, changes []byte) {
+		root := decodeTestMessage(t, int(message))
+		for change := range slices.Chunk(changes[:min(len(changes), 40)], 4) {
+			others := decodeTestMessage(t, int(message)).elements()
+			all := root.elements()
+			parent := all[int(change[0])%len(all)]
+			if len(change) < 4 || len(parent.children) == 0 || len(all) > 500 {
+				continue
+			}
+			spoilers[int(change[2])%len(spoilers)].apply(parent, int(change[1])%len(parent.children), others[int(change[3])%len(others)])
+		}
+		if err := checkDecodes(root.encode()); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
