SRU: a term that contains "@set " is no longer taken for the name of a result set

What callers saw: dc.title = "an @set of words" was refused with diagnostic 50, result sets not supported.

Cause: the front looked for "@set " in the text of the translated query, which has the terms too. It was found while looking who else reads the tree of a query; the Z39.50 front walked the tree.

Change: RPN.HasResultSet walks the tree, for both fronts.

--- a/internal/protocols/front/sru/front_test.go
+++ b/internal/protocols/front/sru/front_test.go
@@ -197,3 +197,15 @@
 		t.Errorf("diagnostics of a query that is too deep: %+v", a.Diagnostics)
 	}
 }
+
+// Guards against a term being taken for the name of a result set because of what it looks like in the translated query.
+func TestTermThatLooksLikeResultSet(t *testing.T) {
+	f := startFront(t, archive.New(archive.DublinCoreRecord))
+	if a, _ := get(t, f, "query="+url.QueryEscape(`dc.title = "an @set of words"`)); a.Count != 30 || len(a.Diagnostics) > 0 {
+		t.Errorf("%d records, diagnostics %+v", a.Count, a.Diagnostics)
+	}
+	a, _ := get(t, f, "query="+url.QueryEscape(`a and cql.resultSetId = s`))
+	if len(a.Diagnostics) != 1 || !strings.HasSuffix(a.Diagnostics[0].URI, "/50") {
+		t.Errorf("diagnostics of a result set as an operand: %+v", a.Diagnostics)
+	}
+}
--- a/internal/protocols/front/sru/searching.go
+++ b/internal/protocols/front/sru/searching.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"flaxfront/internal/decision/resultset"
@@ -27,7 +26,7 @@
 	if err != nil {
 		return http.StatusOK, sru.Fault(err)
 	}
-	if strings.Contains(rpn.PQF(), "@set ") {
+	if rpn.HasResultSet() {
 		return http.StatusOK, sru.NewDiagnostic(50, "cql.resultSetId")
 	}
 	limit := min(cmp.Or(max(0, q.Most), map[bool]int{true: defaultMaximumRecords}[q.Most < 0]), f.options.Most)
--- a/internal/protocols/front/z3950/search.go
+++ b/internal/protocols/front/z3950/search.go
@@ -53,9 +53,7 @@
 	if _, err := m.Query.Query(); errors.As(err, &diagnostic) { // a query that no kind of node could answer
 		return fail(diagnostic.Bib1, "%s", diagnostic.Details)
 	}
-	operand := false
-	s.resultSets(m.Query, &operand)
-	if operand {
+	if m.Query.HasResultSet() {
 		return fail(18, "a result set as an operand is not searched in") // result set not supported as a search term
 	}
 	want := catalogue.Want{Depth: s.f.o.Depth, Syntax: syntax, Query: m.Query}
@@ -102,16 +100,6 @@
 	return out, nil
 }
 
-// resultSets sets found if a query has a result set as an operand.
-func (s *session) resultSets(r *query.RPN, found *bool) {
-	if r.IsOperand() {
-		*found = *found || r.ResultSet != ""
-		return
-	}
-	s.resultSets(&r.Operands[0], found)
-	s.resultSets(&r.Operands[1], found)
-}
-
 // ask runs a search on the broker. It is cancelled if the client disconnects meanwhile.
 func (s *session) ask(ctx context.Context, want *catalogue.Want, refetch bool) (resultset.Answer, server.QueryResult, error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/protocols/query/rpn.go
+++ b/internal/protocols/query/rpn.go
@@ -38,6 +38,14 @@
 // IsOperand reports whether r is an operand, not an operator.
 func (r *RPN) IsOperand() bool { return r.Operands == nil }
 
+// HasResultSet reports whether an operand of the query is a result set.
+func (r *RPN) HasResultSet() bool {
+	if r.IsOperand() {
+		return r.ResultSet != ""
+	}
+	return r.Operands[0].HasResultSet() || r.Operands[1].HasResultSet()
+}
+
 // addAttribute adds an attribute to every operand below r that has none of the same type and set.
 func (r *RPN) addAttribute(a Attribute) error {
 	if !r.IsOperand() {
