Z39.50: a node's records of another syntax than asked for are no longer served as that

What callers saw: a node that sets the preferred record syntax aside, as the standard lets it, had its records presented to the client under the syntax that the client had asked for, such as text as MARC 21.

Cause: the connection to a node read each record's syntax and compared it with nothing. Found while looking what else of a response is used without having been checked. Such an attempt counts as failed at that node, as a surrogate diagnostic does; a statement of a syntax that has no object identifier still takes what comes.

--- a/internal/protocols/back/back_test.go
+++ b/internal/protocols/back/back_test.go
@@ -76,6 +76,13 @@
 			}
 			return z3950.Encode(&z3950.PresentResponse{Common: commonOf(m), Records: z3950.Records{All: []z3950.Record{record, record, record, record}}})
 		}},
+		"records of another syntax": {decision.Errored, func(n int, m z3950.Message) []byte {
+			if n == 1 {
+				return good(m)
+			}
+			text := z3950.Record{Syntax: z3950.SUTRS, Body: []byte("text")}
+			return z3950.Encode(&z3950.PresentResponse{Common: commonOf(m), Records: z3950.Records{All: []z3950.Record{text}}})
+		}},
 		"an empty page": {decision.Errored, func(n int, m z3950.Message) []byte {
 			if n == 1 {
 				return good(m)
--- a/internal/protocols/back/z3950.go
+++ b/internal/protocols/back/z3950.go
@@ -60,7 +60,7 @@
 		}
 		for i := range page.Records.All {
 			record := &page.Records.All[i]
-			if record.Fault != nil {
+			if record.Fault != nil || syntax != "" && record.Syntax != syntax { // a syntax is a preference, which a node may set aside
 				return store.Broke, "", nil
 			}
 			if size += len(record.Body) + 16; size > maxValueBytes {
