Pool: an answer that comes twice or late is not taken for that to the next attempt

What callers saw: a node answers `skipped` twice. The broker had sent the shard request again, over the same connection, and took the second copy for the answer to that.

Cause: the protocol names the shard request in an answer, not the attempt, and the pool sent another attempt over any connection with room.

Change: an attempt never shares a connection with an earlier one of the same shard request that was written to it. The loop passes the earlier attempts along, those before a query returned from another site included; no connection remembers anything. Where none may be opened, the attempt ends as it did without any connection (ConnectFailed).

--- a/internal/server/attempts.go
+++ b/internal/server/attempts.go
@@ -23,6 +23,7 @@
 		return
 	}
 	r := &q.Request.Shards[i]
+	earlier := q.requests[i].attempts
 	attempt := &store.Subrequest{
 		ID:         r.Name,
 		Shard:      r.Shard,
@@ -30,12 +31,13 @@
 		Deadline:   q.deadline,
 		Sent:       now,
 		Subrequest: a.ID,
-		Attempt:    uint16(len(q.requests[i].attempts)),
+		Attempt:    uint16(len(earlier) - q.requests[i].submittedAt),
 		Node:       a.Node,
 		Exclusive:  a.ExclusiveConnection,
 		Tenant:     q.Tenant,
+		Earlier:    earlier,
 	}
-	q.requests[i].attempts = append(q.requests[i].attempts, attempt)
+	q.requests[i].attempts = append(earlier, attempt)
 	l.counters.Attempts++
 	l.connLeases.countAttempts(q.Tenant, 1, 0)
 	l.readPins.attemptSent(q, attempt, now)
@@ -50,8 +52,11 @@
 
 func (l *loop) cancelAttempt(a *decision.Action) {
 	q, i := l.findShardRequest(a.ID)
-	if q != nil && int(a.Attempt) < len(q.requests[i].attempts) {
-		l.pool.Cancel(q.requests[i].attempts[a.Attempt])
+	if q == nil {
+		return
+	}
+	if attempts := q.requests[i].attempts[q.requests[i].submittedAt:]; int(a.Attempt) < len(attempts) {
+		l.pool.Cancel(attempts[a.Attempt])
 	}
 }
 
--- a/internal/server/query.go
+++ b/internal/server/query.go
@@ -30,9 +30,10 @@
 
 // shardRequest is the part of a query that one shard answers.
 type shardRequest struct {
-	answered bool
-	value    string
-	attempts []*store.Subrequest
+	answered    bool
+	value       string
+	attempts    []*store.Subrequest // also those before the query was last submitted to the router
+	submittedAt int                 // the number of attempts before that
 }
 
 // slots returns the number of slots that a query takes: one for itself and one for each shard request.
@@ -108,7 +109,11 @@
 	l.nextID += uint64(q.slots())
 	l.slotsUsed += q.slots()
 	l.queries[q.id] = q
+	earlier := q.requests
 	q.requests = make([]shardRequest, len(q.Request.Shards))
+	for i := range earlier { // a query that was forwarded to another site and returned
+		q.requests[i].attempts, q.requests[i].submittedAt = earlier[i].attempts, len(earlier[i].attempts)
+	}
 	l.readPins.pinQuery(q)
 	serial := float32(q.id % (1 << 24)) // exact in a float32, and a range far larger than the number of queries in flight
 	l.post(decision.Event{Kind: decision.QueryReceived, ID: q.id, Serial: serial, Type: q.Type, Tenant: q.Tenant, RemainingTime: left,
--- a/internal/transport/store/dial.go
+++ b/internal/transport/store/dial.go
@@ -28,7 +28,8 @@
 // Dialer opens a connection, or fails if that takes longer than within.
 type Dialer func(ctx context.Context, addr string, within time.Duration) (Conn, error)
 
-// selectConn returns a connection with free streams, preferably an established one, or opens a new one. nil: there is none.
+// selectConn returns a connection with free streams that carried no earlier attempt of the same shard requests, preferably an established one,
+// or opens a new one. nil: there is none.
 // After a machine has crashed and come back, an old connection may stay silent for ever, and trial attempts over it would prove nothing. So
 // an idle connection over which nothing was answered for Limits.Silent, which is as long as any client waits, is closed. A node that only
 // hangs costs additional handshakes this way.
@@ -43,7 +44,7 @@
 		room = 0
 	}
 	for _, c := range n.conns {
-		if !p.mayUse(c, attempts[0].Tenant) {
+		if !p.mayUse(c, attempts[0].Tenant) || c.carriedEarlier(attempts) {
 			continue
 		}
 		if c.addr == n.addr && !c.retired && c.inFlight.len() <= room && (best == nil || best.up == nil && c.up != nil) {
@@ -62,7 +63,7 @@
 		}
 	}
 	for _, c := range n.conns { // no free stream and no new connection: further attempts wait in the node's receive buffer
-		if p.budget != nil && (c.retired || !p.mayUse(c, attempts[0].Tenant)) {
+		if p.budget != nil && (c.retired || !p.mayUse(c, attempts[0].Tenant)) || c.carriedEarlier(attempts) {
 			continue
 		}
 		if c.up != nil && c.addr == n.addr && (best == nil || c.inFlight.len() < best.inFlight.len()) {
@@ -72,6 +73,19 @@
 	return best
 }
 
+// carriedEarlier reports whether an earlier attempt of one of the shard requests was written to the connection. A node's answers name the shard
+// request, not the attempt. So an answer that comes twice or late would be taken for that to the next attempt over the same connection.
+func (c *conn) carriedEarlier(attempts []*Subrequest) bool {
+	for _, attempt := range attempts {
+		for _, earlier := range attempt.Earlier {
+			if earlier.conn == c && earlier.written {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // closeLongestIdle closes the connection that has been idle for longest, if one is idle.
 func (p *Pool) closeLongestIdle() {
 	var oldest *conn
--- a/internal/transport/store/ends_test.go
+++ b/internal/transport/store/ends_test.go
@@ -32,6 +32,66 @@
 	})
 }
 
+// retry sends another attempt of a shard request.
+func (b *poolTest) retry(earlier ...*Subrequest) *Subrequest {
+	attempt := &Subrequest{ID: earlier[0].ID, Text: "x", Deadline: time.Hour, Node: testNode, Earlier: earlier}
+	b.Send(testNode, []*Subrequest{attempt})
+	b.handleEvents()
+	return attempt
+}
+
+// Guards against an answer that comes twice or late being taken for that to the next attempt of the same shard request at the same node.
+func TestAnswerBelongsToOneAttempt(t *testing.T) {
+	skipped := frame('a', "a.1 skipped - -\n")
+	runPoolTest(t, testLimits, func(b *poolTest) {
+		first := b.send("a.1")[0]
+		b.fakeConns[0].incoming <- skipped
+		b.handleEvents()
+		b.expect("a.1 2")
+		second := b.retry(first)
+		b.fakeConns[0].incoming <- skipped // the copy
+		b.handleEvents()
+		b.expect()
+		if second.Ended() || len(b.fakeConns) != 2 {
+			b.t.Fatalf("ended by the answer to the first attempt: %v; %d connections", second.Ended(), len(b.fakeConns))
+		}
+		b.fakeConns[1].incoming <- frame('a', "a.1 served 1 -\nv")
+		b.handleEvents()
+		b.expect("a.1 1v")
+	})
+	runPoolTest(t, testLimits, func(b *poolTest) {
+		first := b.send("a.1")[0]
+		b.Cancel(first)
+		b.expect("a.1 6")
+		second := b.retry(first)
+		third := b.retry(first, second)
+		b.fakeConns[0].incoming <- skipped // late: the first attempt was over when the node came to it
+		b.handleEvents()
+		b.expect()
+		if second.Ended() || third.Ended() || len(b.fakeConns) != 3 {
+			b.t.Errorf("attempts ended: %v, %v, over %d connections", second.Ended(), third.Ended(), len(b.fakeConns))
+		}
+	})
+}
+
+// Where every connection to a node carried an earlier attempt and none may be opened, the attempt is not sent.
+func TestNoConnectionForAnotherAttempt(t *testing.T) {
+	limits := testLimits
+	limits.Conns = 1
+	runPoolTest(t, limits, func(b *poolTest) {
+		first := b.send("a.1")[0]
+		b.retry(first)
+		b.expect("a.1 4")
+		b.fakeConns[0].incoming <- frame('a', "a.1 skipped - -\n")
+		b.handleEvents()
+		b.expect("a.1 2")
+		b.retry(first) // the idle connection gives way
+		if len(b.fakeConns) != 2 || len(b.fakeConns[1].wrote) != 1 {
+			b.t.Errorf("%d connections", len(b.fakeConns))
+		}
+	})
+}
+
 // An attempt whose frame was written completely may have run and ends as reset; any other never ran and ends as failed to connect.
 func TestOutcomesByWrittenState(t *testing.T) {
 	runPoolTest(t, testLimits, func(b *poolTest) {
--- a/internal/transport/store/store.go
+++ b/internal/transport/store/store.go
@@ -26,10 +26,11 @@
 	Subrequest uint64 // the router's id of the shard request
 	Attempt    uint16
 	Node       decision.NodeID
-	Exclusive  bool   // its call shares a connection with no other while the limit allows a new one
-	Tenant     int    // index; with a Budget, it uses only this tenant's and shared connections
-	ReadPin    uint64 // used by the loop only
-	Report     string // the load report that came with the answer, after KeepReports
+	Exclusive  bool          // its call shares a connection with no other while the limit allows a new one
+	Tenant     int           // index; with a Budget, it uses only this tenant's and shared connections
+	ReadPin    uint64        // used by the loop only
+	Earlier    []*Subrequest // the shard request's earlier attempts; it never shares a connection with one that was written
+	Report     string        // the load report that came with the answer, after KeepReports
 
 	conn     *conn
 	position int // its index in conn.inFlight.attempts
