SRU: an idle connection gives way to one that has a query, by the HTTP front's mechanism

Cause: the listener waited for one of sru.clients slots before it accepted, and only a close gave one back; an idle connection was kept for 30 s.

Change: the set of connections of the HTTP front, with its states and limits, is transport/clientconn now, and the choice of the one that gives way is decision/reclaim, without I/O; ingress and the SRU front use both. For net/http a wrapper of the connection tells the set of first bytes, whole requests and idling, keeps its read deadlines from undoing an interrupt, and looks once more for bytes that crossed it. While none idles, a request on a further connection is answered at once with 503 and diagnostic 2.

--- /dev/null
+++ b/internal/protocols/front/sru/conns.go
@@ -0,0 +1,176 @@
+package sru
+
+// This file limits the front's connections: an idle one gives way to a new one, and where none idles, the new one's request is shed.
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"flaxfront/internal/decision/reclaim"
+	"flaxfront/internal/transport/clientconn"
+	"flaxfront/internal/transport/lookahead"
+)
+
+// pastDeadline is a read deadline in the past: it wakes a blocked reader.
+var pastDeadline = time.Unix(1, 0)
+
+// limitedListener accepts connections and keeps their states in a set.
+type limitedListener struct {
+	net.Listener
+	set *clientconn.Set
+	now func() time.Duration
+
+	closing sync.Once
+	closed  chan struct{}
+}
+
+func newListener(l net.Listener, clients int, now func() time.Duration) *limitedListener {
+	limits := clientconn.Limits{Connections: clients, Used: clients, ReadGrace: readGrace}
+	return &limitedListener{Listener: l, set: clientconn.NewSet(limits), now: now, closed: make(chan struct{})}
+}
+
+const (
+	readGrace    = 250 * time.Millisecond // for a request that has begun to arrive, and for a new connection
+	capacityWait = 250 * time.Millisecond // after which a connection that waits for capacity looks again
+)
+
+// Accept returns the next connection once there is capacity for it.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &clientConn{Conn: conn, set: l.set, ahead: lookahead.New(conn, l.now, maxLookahead)}
+	c.state = clientconn.NewConn(c.interrupt)
+	for !l.set.Admit(c.state) {
+		select {
+		case <-l.set.Capacity():
+		case <-time.After(capacityWait):
+		case <-l.closed:
+			conn.Close()
+			return nil, net.ErrClosed
+		}
+	}
+	return c, nil
+}
+
+// Close stops accepting connections.
+func (l *limitedListener) Close() error {
+	l.closing.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// maxLookahead is the number of bytes read ahead of a client's next request.
+const maxLookahead = 4 << 10
+
+// clientConn is a client's connection, which net/http reads. Only its reader's goroutine uses ahead and early.
+type clientConn struct {
+	net.Conn
+	set   *clientconn.Set
+	state *clientconn.Conn
+	ahead *lookahead.Reader
+	early bool // bytes of the next request arrived while the last one was being answered
+	close sync.Once
+
+	mu          sync.Mutex
+	interrupted bool // read deadlines that net/http sets have no effect
+}
+
+// interrupt wakes the reader of an idle connection that gives way.
+func (c *clientConn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted = true
+	c.Conn.SetReadDeadline(pastDeadline)
+}
+
+// resume lets a request be read whose first bytes arrived just as its connection was to give way.
+func (c *clientConn) resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted = false
+	c.Conn.SetReadDeadline(time.Now().Add(headerTimeout))
+}
+
+// SetReadDeadline sets the deadline of reads, unless the connection is to give way.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.interrupted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read reads from the client. The first bytes of a request change the connection's state.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.ahead.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.set.EndReason(c.state) != clientconn.StillOpen {
+		if c.ahead.ReadAvailable(); c.ahead.Unread() > 0 {
+			c.resume()
+			n, err = c.ahead.Read(p)
+		}
+	}
+	if n > 0 {
+		c.bytesArrived()
+	}
+	return n, err
+}
+
+func (c *clientConn) bytesArrived() {
+	switch c.set.State(c.state) {
+	case reclaim.Idle:
+		c.set.StartReading(c.state)
+		c.resume()
+	case reclaim.Busy:
+		c.early = true
+	}
+}
+
+// Close closes the connection.
+func (c *clientConn) Close() error {
+	c.close.Do(func() { c.set.Remove(c.state) })
+	return c.Conn.Close()
+}
+
+// trackState is net/http's hook for the states of connections.
+func trackState(conn net.Conn, state http.ConnState) {
+	c, is := conn.(*clientConn)
+	if !is {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.set.StartAnswering(c.state)
+	case http.StateIdle:
+		if c.set.BecomeIdle(c.state) != clientconn.StillOpen {
+			c.interrupt()
+		}
+		if c.early {
+			c.early = false
+			c.set.StartReading(c.state)
+		}
+	}
+}
+
+// connKey is the context's key of the connection that a request came over.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// fate reports whether a request has to be shed, as its connection is beyond the limit, and whether its answer is the connection's last.
+func fate(r *http.Request) (shed, last bool) {
+	c, is := r.Context().Value(connKey{}).(*clientConn)
+	if !is {
+		return false, false
+	}
+	shed = c.state.OverLimit()
+	return shed, shed || c.set.EndReason(c.state) != clientconn.StillOpen
+}
--- a/internal/protocols/front/sru/front.go
+++ b/internal/protocols/front/sru/front.go
@@ -2,7 +2,8 @@
 // search; later pages come from the result set of the same client's first page, as long as that is kept. All pages of a result set
 // are of the same records, and a partial result is never presented as complete.
 //
-// Depends on config/operator, decision/resultset, protocols/catalogue, protocols/front, protocols/sru, server.
+// Depends on config/operator, decision/reclaim, decision/resultset, protocols/catalogue, protocols/front, protocols/sru, server,
+// transport/clientconn, transport/lookahead.
 // Concurrency: net/http calls ServeHTTP from many goroutines; a mutex guards the result sets.
 package sru
 
@@ -46,7 +47,6 @@
 	options    operator.SRU
 	listener   net.Listener
 	httpServer *http.Server
-	slots      chan struct{} // one for each open connection
 
 	mu   sync.Mutex
 	sets *resultset.Sets
@@ -54,53 +54,31 @@
 
 // Listen opens a front's listener. An unknown query type or tenant is an error.
 func Listen(b front.Broker, options operator.SRU) (*Front, error) {
-	f := &Front{broker: b, options: options, slots: make(chan struct{}, options.Clients), sets: resultset.New(resultset.Limits{Bytes: options.Bytes, SetsPerSession: 8, Sessions: maxClients, Age: options.Age})}
+	f := &Front{broker: b, options: options, sets: resultset.New(resultset.Limits{Bytes: options.Bytes, SetsPerSession: 8, Sessions: maxClients, Age: options.Age})}
 	var err error
 	if f.searcher, err = front.NewSearcher(b, "sru", options.Type, options.Tenant); err != nil {
 		return nil, err
 	}
 	f.httpServer = &http.Server{Handler: f, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, WriteTimeout: f.searcher.Timeout + requestTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo)}
-	f.listener, err = net.Listen("tcp", options.Listen)
-	return f, err
-}
-
-// Addr returns the listener's address.
-func (f *Front) Addr() net.Addr { return f.listener.Addr() }
-
-// limitedListener accepts as many connections as it has slots; further ones wait in the kernel's backlog.
-type limitedListener struct {
-	net.Listener
-	slots chan struct{}
-}
-
-type limitedConn struct {
-	net.Conn
-	once  sync.Once
-	close func()
-}
-
-func (b limitedListener) Accept() (net.Conn, error) {
-	b.slots <- struct{}{}
-	c, err := b.Listener.Accept()
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: trackState, ConnContext: withConn,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo)}
+	listener, err := net.Listen("tcp", options.Listen)
 	if err != nil {
-		<-b.slots
 		return nil, err
 	}
-	return &limitedConn{Conn: c, close: func() { <-b.slots }}, nil
+	f.listener = newListener(listener, options.Clients, b.Uptime)
+	return f, nil
 }
 
-func (c *limitedConn) Close() error {
-	c.once.Do(c.close)
-	return c.Conn.Close()
-}
+// Addr returns the listener's address.
+func (f *Front) Addr() net.Addr { return f.listener.Addr() }
 
 // Serve accepts clients until ctx ends or Drain is called, then waits for the requests in flight.
 func (f *Front) Serve(ctx context.Context) error {
 	defer f.searcher.LogCounts("sru")
 	stop := context.AfterFunc(ctx, func() { f.httpServer.Close() })
 	defer stop()
-	if err := f.httpServer.Serve(limitedListener{f.listener, f.slots}); !errors.Is(err, http.ErrServerClosed) {
+	if err := f.httpServer.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("sru: %w", err)
 	}
 	wait, cancel := context.WithTimeout(ctx, f.searcher.Timeout+requestTimeout) // after Drain, waits for the requests in flight
@@ -114,6 +92,10 @@
 
 // ServeHTTP answers one explain or searchRetrieve request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	shed, last := fate(r)
+	if last {
+		w.Header().Set("Connection", "close")
+	}
 	if name := strings.Trim(r.URL.Path, "/"); name != "" && name != f.options.Database {
 		http.Error(w, fmt.Sprintf("no database %.60q", name), http.StatusNotFound)
 		return
@@ -133,6 +115,9 @@
 	}
 	response := &sru.Response{Version: q.Version, Query: q.QueryText, Escaped: q.Escaped}
 	status := http.StatusOK
+	if shed {
+		status, diagnostic = http.StatusServiceUnavailable, sru.NewDiagnostic(2, "all connections are in use; try again")
+	}
 	if diagnostic == nil {
 		status, diagnostic = f.search(w, r, &q, response)
 	}
--- a/internal/protocols/front/sru/front_test.go
+++ b/internal/protocols/front/sru/front_test.go
@@ -44,6 +44,11 @@
 	t.Helper()
 	o := operator.Default().SRU
 	o.Listen = "127.0.0.1:0"
+	return serveFront(t, b, o)
+}
+
+func serveFront(t testing.TB, b front.Broker, o operator.SRU) *Front {
+	t.Helper()
 	f, err := Listen(b, o)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/server/connection_orders_test.go
+++ b/internal/server/connection_orders_test.go
@@ -12,7 +12,9 @@
 	"testing"
 	"time"
 
+	"flaxfront/internal/decision/reclaim"
 	"flaxfront/internal/server/ingress"
+	"flaxfront/internal/transport/clientconn"
 	"flaxfront/internal/transport/httpwire"
 )
 
@@ -57,13 +59,13 @@
 	near, far := tcpPair(t)
 	defer far.Close()
 	s.draining.Store(false)
-	in := ingress.New(nil, s, ingress.Options{Limits: ingress.Limits{Connections: 100, Used: 100, ReadGrace: s.Settings().Dial}})
+	in := ingress.New(nil, s, ingress.Options{Limits: clientconn.Limits{Connections: 100, Used: 100, ReadGrace: s.Settings().Dial}})
 	before := s.Counters().Queries.Received
 	text := post(id, body)
 	ended := serveConnection(s, in, near)
-	settled := func(reached func(c ingress.ConnectionInfo) bool) {
+	settled := func(reached func(c clientconn.Info) bool) {
 		for deadline := time.Now().Add(100 * time.Millisecond); time.Now().Before(deadline); time.Sleep(50 * time.Microsecond) {
-			if !slices.ContainsFunc(in.Connections(), func(c ingress.ConnectionInfo) bool { return !reached(c) }) {
+			if !slices.ContainsFunc(in.Connections(), func(c clientconn.Info) bool { return !reached(c) }) {
 				return
 			}
 		}
@@ -74,24 +76,24 @@
 		case requestBegins:
 			_, err := io.WriteString(far, text[:30])
 			closed = closed || err != nil
-			settled(func(c ingress.ConnectionInfo) bool { return c.State == ingress.StateReading })
+			settled(func(c clientconn.Info) bool { return c.State == reclaim.Reading })
 		case requestCompletes:
 			_, err := io.WriteString(far, text[30:])
 			closed = closed || err != nil
-			settled(func(c ingress.ConnectionInfo) bool { return c.Used && c.State == ingress.StateIdle })
+			settled(func(c clientconn.Info) bool { return c.Used && c.State == reclaim.Idle })
 		case strayByte:
 			io.WriteString(far, "P")
-			settled(func(c ingress.ConnectionInfo) bool { return c.State == ingress.StateReading })
+			settled(func(c clientconn.Info) bool { return c.State == reclaim.Reading })
 		case clientDeparts:
 			far.(*net.TCPConn).CloseWrite()
-			settled(func(ingress.ConnectionInfo) bool { return false })
+			settled(func(clientconn.Info) bool { return false })
 		case serverDrains:
 			s.draining.Store(true)
 			in.CloseIdle()
-			settled(func(c ingress.ConnectionInfo) bool { return c.State != ingress.StateIdle })
+			settled(func(c clientconn.Info) bool { return c.State != reclaim.Idle })
 		case descriptorNeeded:
 			in.ReclaimIdle()
-			settled(func(c ingress.ConnectionInfo) bool { return c.State != ingress.StateIdle || c.Ending == "" })
+			settled(func(c clientconn.Info) bool { return c.State != reclaim.Idle || c.Ending == "" })
 		}
 	}
 	far.(*net.TCPConn).CloseWrite()
--- a/internal/server/ingress/accept.go
+++ b/internal/server/ingress/accept.go
@@ -44,7 +44,7 @@
 
 // start serves a connection in a new goroutine once there is capacity for it. It reports false if ctx ended before that.
 func (in *Ingress) start(ctx context.Context, c *connection) bool {
-	for !in.connections.admit(c) {
+	for !in.connections.Admit(c.state) {
 		if !in.waitForCapacity(ctx) {
 			return false
 		}
@@ -57,7 +57,7 @@
 // waitForCapacity waits until a connection ends or becomes idle, for the dial timeout at most. It reports false if ctx has ended.
 func (in *Ingress) waitForCapacity(ctx context.Context) bool {
 	select {
-	case <-in.connections.capacity:
+	case <-in.connections.Capacity():
 	case <-time.After(in.broker.Settings().Dial):
 	case <-ctx.Done():
 		return false
--- a/internal/server/ingress/answer_query.go
+++ b/internal/server/ingress/answer_query.go
@@ -18,7 +18,7 @@
 		in.decodeReadHint(r.Message, q)
 	}
 	c.hadQuery = true
-	pending, ok := in.broker.Submit(query.Submission{Request: q, Arrival: r.arrival, ConnectionOverLimit: c.overLimit})
+	pending, ok := in.broker.Submit(query.Submission{Request: q, Arrival: r.arrival, ConnectionOverLimit: c.state.OverLimit()})
 	if !ok {
 		return Shutdown
 	}
--- a/internal/server/ingress/deadlines.go
+++ b/internal/server/ingress/deadlines.go
@@ -18,7 +18,7 @@
 func (in *Ingress) requestDeadline(c *connection) time.Time {
 	grace := in.options.ReadGrace
 	switch {
-	case c.overLimit:
+	case c.state.OverLimit():
 		return time.Now().Add(grace)
 	case c.requests == 0:
 		late := time.Since(c.opened) + grace // a request that began late still has the read grace
--- a/internal/server/ingress/ingress.go
+++ b/internal/server/ingress/ingress.go
@@ -9,6 +9,7 @@
 
 	"flaxfront/internal/config/terms"
 	"flaxfront/internal/server/query"
+	"flaxfront/internal/transport/clientconn"
 )
 
 // Broker is the part of the server that ingress depends on. Its methods may be called from any goroutine.
@@ -25,20 +26,10 @@
 	CountersJSON() string
 }
 
-// Limits are the limits on client connections.
-type Limits struct {
-	Connections int           // open at once; up to Overflow more may be open for a moment
-	Used        int           // open at once on which a request has arrived
-	ReadGrace   time.Duration // for a request that has begun to arrive, and for a new connection: neither is reclaimed within it
-	AcceptTail  time.Duration // maximum time for which connections are accepted after StopAccepting
-}
-
-// Overflow is how many connections may be open beyond the limit for a moment: those about to be closed, and those whose query is shed.
-const Overflow = 8
-
 // Options configure an Ingress.
 type Options struct {
-	Limits
+	clientconn.Limits
+	AcceptTail time.Duration // maximum time for which connections are accepted after StopAccepting
 	// IgnoredReadHints counts read hints that can't be parsed; nil: read hints are not read at all.
 	IgnoredReadHints *atomic.Uint64
 }
@@ -58,7 +49,8 @@
 	listener    net.Listener
 	broker      Broker
 	options     Options
-	connections connectionSet
+	connections *clientconn.Set
+	logLimit    sharedLogLimit
 	serving     sync.WaitGroup // goroutines that serve connections
 	acceptEnded chan struct{}  // closed when no more connections are accepted
 }
@@ -69,7 +61,7 @@
 		listener:    listener,
 		broker:      broker,
 		options:     options,
-		connections: newConnectionSet(options.Limits),
+		connections: clientconn.NewSet(options.Limits),
 		acceptEnded: make(chan struct{}),
 	}
 }
@@ -83,17 +75,13 @@
 }
 
 // CloseIdle closes all idle connections, and from now on each connection that becomes idle.
-func (in *Ingress) CloseIdle() { in.connections.closeIdle() }
+func (in *Ingress) CloseIdle() { in.connections.CloseIdle() }
 
 // Wait returns when every connection has ended. It must be called after StopAccepting.
 func (in *Ingress) Wait() { in.serving.Wait() }
 
 // Connections returns a snapshot of the open connections, in no particular order.
-func (in *Ingress) Connections() []ConnectionInfo { return in.connections.snapshot() }
+func (in *Ingress) Connections() []clientconn.Info { return in.connections.Snapshot() }
 
 // ReclaimIdle ends one connection to free its descriptor, an idle one first, and reports whether there was one to end.
-func (in *Ingress) ReclaimIdle() bool {
-	in.connections.mu.Lock()
-	defer in.connections.mu.Unlock()
-	return in.connections.reclaim()
-}
+func (in *Ingress) ReclaimIdle() bool { return in.connections.Reclaim() }
--- a/internal/server/ingress/log_limit.go
+++ b/internal/server/ingress/log_limit.go
@@ -1,6 +1,9 @@
 package ingress
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // logLimit limits the log lines about connections that brought no query, as a client that opens thousands of them a second would fill the log
 // and keep a core busy. Lines beyond the limit are counted, and the next line states their number.
@@ -10,6 +13,18 @@
 	suppressed int   // lines left out since the last one written
 }
 
+// sharedLogLimit is a limit for several goroutines.
+type sharedLogLimit struct {
+	mu    sync.Mutex
+	limit logLimit
+}
+
+func (l *sharedLogLimit) allow(now time.Time) logDecision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limit.allow(now)
+}
+
 const maxLinesPerSecond = 20
 
 // logDecision says whether a line is written.
--- a/internal/server/ingress/reason.go
+++ b/internal/server/ingress/reason.go
@@ -1,14 +1,16 @@
 package ingress
 
+import "flaxfront/internal/transport/clientconn"
+
 // Reason is why a connection ends: the reason code in its log line.
-type Reason string
+type Reason = clientconn.Reason
 
 // The reasons. Operators search for the codes, and docs/oncall.md explains each.
 const (
-	LastAnswer     Reason = "last_answer"   // the client or the broker asked for the end after an answer
-	Idle           Reason = "idle"          // no request arrived within the idle timeout of the settings
-	Reclaimed      Reason = "spare"         // its descriptor was needed for another connection
-	Drained        Reason = "drained"       // it was idle in a graceful shutdown
+	LastAnswer     Reason = "last_answer" // the client or the broker asked for the end after an answer
+	Idle           Reason = "idle"        // no request arrived within the idle timeout of the settings
+	Reclaimed             = clientconn.Reclaimed
+	Drained               = clientconn.Drained
 	Shutdown       Reason = "shutdown"      // the broker ended
 	ClientClosed   Reason = "client_closed" // between requests
 	ClientReset    Reason = "client_reset"  // between requests
@@ -20,4 +22,4 @@
 )
 
 // stillOpen means that there is no reason: the connection stays open.
-const stillOpen Reason = ""
+const stillOpen = clientconn.StillOpen
--- a/internal/server/ingress/reason_test.go
+++ b/internal/server/ingress/reason_test.go
@@ -9,9 +9,13 @@
 
 // The on-call page explains every reason code of a connection's end.
 func TestReasonsAreOnTheOnCallPage(t *testing.T) {
-	source, err := os.ReadFile("reason.go")
-	if err != nil {
-		t.Fatal(err)
+	var source []byte
+	for _, file := range []string{"reason.go", "../../transport/clientconn/conn.go"} {
+		b, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		source = append(source, b...)
 	}
 	page, err := os.ReadFile("../../../docs/oncall.md")
 	if err != nil {
@@ -19,7 +23,7 @@
 	}
 	reasons := regexp.MustCompile(`Reason += "([a-z_]+)"`).FindAllStringSubmatch(string(source), -1)
 	if len(reasons) < 12 {
-		t.Fatalf("%d reasons found in reason.go", len(reasons))
+		t.Fatalf("%d reasons found", len(reasons))
 	}
 	for _, r := range reasons {
 		if !strings.Contains(string(page), "`"+r[1]+"`") {
--- a/internal/server/ingress/serve.go
+++ b/internal/server/ingress/serve.go
@@ -22,7 +22,7 @@
 // ServeConnection serves a connection that the caller accepted, even if there is no capacity for it. It returns why the connection ended.
 func (in *Ingress) ServeConnection(ctx context.Context, conn net.Conn) Reason {
 	c := newConnection(conn, in.broker.Uptime)
-	in.connections.admit(c)
+	in.connections.Admit(c.state)
 	return in.serve(ctx, c)
 }
 
@@ -35,7 +35,11 @@
 	}
 	stop()
 	c.Close()
-	line := in.connections.remove(c)
+	in.connections.Remove(c.state)
+	line := logDecision{write: true}
+	if !c.hadQuery {
+		line = in.logLimit.allow(time.Now())
+	}
 	in.Counters.Closed.Add(1)
 	if line.write {
 		slog.Info("client connection ended", "component", "ingress", "address", c.RemoteAddr(), "reason", string(reason),
@@ -55,8 +59,8 @@
 			return reason
 		}
 		r := request{Message: m, arrival: c.ahead.ArrivalTime(c.in.Buffered())}
-		endReason := in.connections.startAnswering(c)
-		r.last = endReason != stillOpen || m.Close || c.overLimit
+		endReason := in.connections.StartAnswering(c.state)
+		r.last = endReason != stillOpen || m.Close || c.state.OverLimit()
 		// The client may already have left if its request arrived during the previous answer or before the connection was accepted.
 		if c.ahead.ReadAvailable() {
 			return ClientDeparted
@@ -71,7 +75,7 @@
 // awaitRequest waits for the first byte of a request. It returns why the connection ends instead, or stillOpen.
 func (in *Ingress) awaitRequest(c *connection) Reason {
 	c.SetReadDeadline(in.firstByteDeadline(c))
-	if endReason := in.connections.becomeIdle(c); endReason != stillOpen && !c.hasUnread() {
+	if endReason := in.connections.BecomeIdle(c.state); endReason != stillOpen && !c.hasUnread() {
 		return endReason
 	}
 	_, err := c.in.Peek(1)
@@ -79,7 +83,7 @@
 		c.SetReadDeadline(in.requestDeadline(c))
 		_, err = c.in.Peek(1)
 	}
-	endReason := in.connections.startReading(c)
+	endReason := in.connections.StartReading(c.state)
 	c.SetReadDeadline(in.requestDeadline(c)) // after startReading: if the connection was ended as idle just before, the request is still read
 	switch {
 	case err == nil:
@@ -111,7 +115,7 @@
 	case errors.As(err, &fault):
 		return in.rejectRequest(c, err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		if endReason := in.connections.endReasonOf(c); endReason != stillOpen {
+		if endReason := in.connections.EndReason(c.state); endReason != stillOpen {
 			return endReason
 		}
 		in.writeError(c, requestError(statusRequestTimeout, "the request did not come whole"))
--- a/internal/server/ingress/slow_test.go
+++ b/internal/server/ingress/slow_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"flaxfront/internal/transport/clientconn"
 	"flaxfront/internal/transport/httpwire"
 )
 
@@ -32,7 +33,7 @@
 		{fmt.Sprintf(requestHead+"Transfer-Encoding: chunked\r\n\r\nffff\r\nx", "x"), 0},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			in := New(nil, newFakeBroker(settings), Options{Limits: Limits{Connections: 4, ReadGrace: 250 * time.Millisecond}})
+			in := New(nil, newFakeBroker(settings), Options{Limits: clientconn.Limits{Connections: 4, ReadGrace: 250 * time.Millisecond}})
 			client, server := net.Pipe()
 			begun := time.Now()
 			go in.ServeConnection(t.Context(), server)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -26,6 +26,7 @@
 	"flaxfront/internal/discovery"
 	"flaxfront/internal/discovery/nodelist"
 	"flaxfront/internal/server/ingress"
+	"flaxfront/internal/transport/clientconn"
 	"flaxfront/internal/transport/keys"
 	"flaxfront/internal/transport/link"
 	"flaxfront/internal/transport/peers"
@@ -35,7 +36,7 @@
 // protocol, clients may use a third of all for requests; three quarters of these are kept open between requests.
 const (
 	reservedSockets      = 16 // standard streams, poller, listener, gossip, three polls of discovery, connections that are closing
-	spareSockets         = reservedSockets + ingress.Overflow
+	spareSockets         = reservedSockets + clientconn.Overflow
 	nodeSocketsDivisor   = 3
 	clientSocketsDivisor = 3
 )
@@ -172,12 +173,14 @@
 func (s *Server) openIngress() {
 	t := &s.start.Terms
 	descriptors := s.shareDescriptors()
-	options := ingress.Options{Limits: ingress.Limits{
-		Connections: descriptors.clients,
-		Used:        descriptors.usedClients,
-		ReadGrace:   t.Dial,
-		AcceptTail:  stopAcceptingAfter,
-	}}
+	options := ingress.Options{
+		Limits: clientconn.Limits{
+			Connections: descriptors.clients,
+			Used:        descriptors.usedClients,
+			ReadGrace:   t.Dial,
+		},
+		AcceptTail: stopAcceptingAfter,
+	}
 	if s.loop.readPins != nil {
 		options.IgnoredReadHints = &s.loop.readPins.ignoredHints
 	}
--- /dev/null
+++ b/internal/transport/clientconn/set.go
@@ -0,0 +1,183 @@
+package clientconn
+
+import (
+	"iter"
+	"sync"
+	"time"
+
+	"flaxfront/internal/decision/reclaim"
+)
+
+// Limits are the limits of a set.
+type Limits struct {
+	Connections int           // open at once; up to Overflow more may be open for a moment
+	Used        int           // open at once on which a request has arrived
+	ReadGrace   time.Duration // for a request that has begun to arrive, and for a new connection: neither is reclaimed within it
+}
+
+// Overflow is how many connections may be open beyond the limit for a moment: those about to be closed, and those whose request is shed.
+const Overflow = 8
+
+// Info describes a connection at one moment.
+type Info struct {
+	State  reclaim.State
+	Used   bool   // a whole request has arrived on it
+	Ending Reason // why the broker ends it; StillOpen: it doesn't
+}
+
+// Set holds all connections of a front. Their number is limited by the file descriptors, even if many clients connect at once, open connections
+// and send nothing, or send requests that never arrive whole. At the limit an idle or slow connection is closed for a new one. Where none can be,
+// the new one is admitted beyond the limit and its request must be shed, up to Overflow connections; more wait in the kernel's queue. Clients
+// that open connections long before they use them may find these closed.
+type Set struct {
+	limits   Limits
+	capacity chan struct{}
+
+	mu      sync.Mutex
+	open    map[*Conn]bool
+	closing bool // idle connections are closed at once
+}
+
+// NewSet returns an empty set.
+func NewSet(limits Limits) *Set {
+	return &Set{
+		limits:   limits,
+		capacity: make(chan struct{}, 1),
+		open:     map[*Conn]bool{},
+	}
+}
+
+// Capacity is signalled when a connection ends or becomes idle.
+func (s *Set) Capacity() <-chan struct{} { return s.capacity }
+
+// Admit adds a connection. It reports false if there is no capacity, not even beyond the limit.
+func (s *Set) Admit(c *Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.setState(reclaim.Idle)
+	if excess := len(s.open) - s.limits.Connections; excess >= 0 {
+		freed := s.reclaim()
+		if excess >= Overflow {
+			return false
+		}
+		c.overLimit = !freed
+	}
+	s.open[c] = true
+	return true
+}
+
+// BecomeIdle records that a connection waits for a request. It returns why the broker ends the connection, or StillOpen.
+func (s *Set) BecomeIdle(c *Conn) Reason {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.setState(reclaim.Idle)
+	if s.closing && c.endReason == StillOpen {
+		c.endReason = Drained
+		c.state.Ending = true
+	}
+	s.signalCapacity()
+	return c.endReason
+}
+
+// StartReading records that a request has begun to arrive. It returns why the broker ends the connection, or StillOpen.
+func (s *Set) StartReading(c *Conn) Reason {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.setState(reclaim.Reading)
+	return c.endReason
+}
+
+// StartAnswering records that a whole request has arrived. It returns why the broker ends the connection, or StillOpen.
+func (s *Set) StartAnswering(c *Conn) Reason {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.setState(reclaim.Busy)
+	if !c.state.Used {
+		c.state.Used = true
+		s.end(reclaim.OverUsed(s.states(), s.limits.Used))
+	}
+	return c.endReason
+}
+
+// State returns a connection's state.
+func (s *Set) State(c *Conn) reclaim.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.state.State
+}
+
+// EndReason returns why the broker ends a connection, or StillOpen.
+func (s *Set) EndReason(c *Conn) Reason {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.endReason
+}
+
+// Remove removes a connection that has ended.
+func (s *Set) Remove(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+	s.signalCapacity()
+}
+
+// CloseIdle ends all idle connections, and from now on each connection that becomes idle.
+func (s *Set) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+	for c := range s.open {
+		if c.state.State == reclaim.Idle && c.endReason == StillOpen {
+			c.end(Drained)
+		}
+	}
+}
+
+// Reclaim ends one connection to free its descriptor, an idle one first, and reports whether there was one to end.
+func (s *Set) Reclaim() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reclaim()
+}
+
+func (s *Set) reclaim() bool {
+	return s.end(reclaim.ForNew(s.states(), time.Now(), s.limits.ReadGrace))
+}
+
+// end ends the connection of a state, and reports whether there is one.
+func (s *Set) end(state *reclaim.Connection) bool {
+	for c := range s.open {
+		if &c.state == state {
+			c.end(Reclaimed)
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Set) states() iter.Seq[*reclaim.Connection] {
+	return func(yield func(*reclaim.Connection) bool) {
+		for c := range s.open {
+			if !yield(&c.state) {
+				return
+			}
+		}
+	}
+}
+
+func (s *Set) signalCapacity() {
+	select {
+	case s.capacity <- struct{}{}:
+	default:
+	}
+}
+
+// Snapshot returns the open connections, in no particular order.
+func (s *Set) Snapshot() (all []Info) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		all = append(all, Info{State: c.state.State, Used: c.state.Used, Ending: c.endReason})
+	}
+	return all
+}
