Z39.50: an idle session gives way to a new one, by the mechanism of the other fronts

What callers saw: while idle sessions held all places, for up to 5 minutes each, a new client was turned away with "no session is free", although the front had nothing to do.

Change: the front keeps its sessions in transport/clientconn. The session that idles longest gets a Close (7, lack of activity); if none idles, a new one is turned away as before. The end of the context closes the connections themselves, as in ingress. Before, it set a read deadline, which a session that set its own just after that lived past, until it was idle (from reading: the test that sometimes took 30 s).

TestIdleSessionGivesWay fails on the text before ("init was answered with <nil>").

--- a/internal/protocols/front/z3950/clients_test.go
+++ b/internal/protocols/front/z3950/clients_test.go
@@ -64,7 +64,7 @@
 	if m, is := silent.receive().(*z3950.Close); !is || m.Reason != 7 || time.Since(began) > 3*time.Second {
 		t.Errorf("silent client: %+v after %v", m, time.Since(began))
 	}
-	waitUntil(t, func() bool { f.mu.Lock(); defer f.mu.Unlock(); return len(f.sessions) == 0 })
+	waitUntil(t, func() bool { return len(f.connections.Snapshot()) == 0 })
 	early := dial(t, f, nil)
 	if m, is := early.exchange(searchRequest(t, "a", "cat")).(*z3950.Close); !is || m.Reason != 6 {
 		t.Errorf("a search before init: %+v", m)
@@ -80,6 +80,38 @@
 	}
 }
 
+// Guards against a client that is turned away although its search could run, as sessions that idle hold all places.
+func TestIdleSessionGivesWay(t *testing.T) {
+	o := testOptions()
+	o.Sessions = 2
+	b := archive.New(archive.TextRecord)
+	f := startFront(t, b, o)
+	first, second := dial(t, f, defaultInit), dial(t, f, defaultInit)
+	first.exchange(searchRequest(t, "a", "cat"))
+	second.exchange(searchRequest(t, "a", "cat"))
+	third := dial(t, f, defaultInit)
+	if r, is := third.exchange(searchRequest(t, "a", "cat")).(*z3950.SearchResponse); !is || !r.OK {
+		t.Errorf("%+v", r)
+	}
+	if m, is := first.receive().(*z3950.Close); !is || m.Reason != 7 {
+		t.Errorf("the longest idle session: %+v", m)
+	}
+	hold := make(chan struct{})
+	b.Update(func(b *archive.Broker) { b.Gate = hold })
+	second.Write(z3950.Encode(searchRequest(t, "b", "cat")))
+	third.Write(z3950.Encode(searchRequest(t, "b", "cat")))
+	waitUntil(t, func() bool { return b.Queries() == 5 })
+	if m, is := dial(t, f, nil).receive().(*z3950.Close); !is || m.Reason != 4 {
+		t.Errorf("a session while all others are busy: %+v", m)
+	}
+	close(hold)
+	for _, c := range []*client{second, third} {
+		if r, is := c.receive().(*z3950.SearchResponse); !is || !r.OK {
+			t.Errorf("a search in flight: %+v", r)
+		}
+	}
+}
+
 // A client's disconnect cancels its search in flight and removes its result sets.
 func TestClientDisconnects(t *testing.T) {
 	b := archive.New(archive.TextRecord)
@@ -96,7 +128,7 @@
 	waitUntil(t, func() bool {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		return len(f.sessions) == 0 && f.resultSets.Counts.Bytes == 0
+		return len(f.connections.Snapshot()) == 0 && f.resultSets.Counts.Bytes == 0
 	})
 }
 
--- a/internal/protocols/front/z3950/front.go
+++ b/internal/protocols/front/z3950/front.go
@@ -3,8 +3,8 @@
 // of the same records, and a partial result is never presented as complete.
 //
 // Depends on config/operator, decision/resultset, protocols/catalogue, protocols/front, protocols/query,
-// protocols/z3950, server. Concurrency: each session has a goroutine, which ends with the caller's context; a mutex
-// guards the sessions and the result sets.
+// protocols/z3950, server, transport/clientconn. Concurrency: each session has a goroutine, which ends with the caller's context; a mutex
+// guards the result sets.
 package z3950
 
 import (
@@ -20,13 +20,15 @@
 	"flaxfront/internal/decision/resultset"
 	"flaxfront/internal/protocols/front"
 	"flaxfront/internal/protocols/z3950"
+	"flaxfront/internal/transport/clientconn"
 )
 
 const (
 	initTimeout     = 2500 * time.Millisecond // for a connection's first message to arrive completely
 	messageTimeout  = 10 * time.Second        // for any other message, from its first byte
 	writeTimeout    = 10 * time.Second
-	minMessageBytes = 1 << 10 // least message and record size, even if the client asks for less
+	readGrace       = 250 * time.Millisecond // for a message that has begun to arrive, and for a new session
+	minMessageBytes = 1 << 10                // least message and record size, even if the client asks for less
 )
 
 // Bib-1 diagnostics that the front itself sends.
@@ -49,12 +51,12 @@
 	o        operator.Z3950
 	listener net.Listener
 
+	connections *clientconn.Set
+	lastID      uint64 // of a session; used by Serve only
+	running     sync.WaitGroup
+
 	mu         sync.Mutex
 	resultSets *resultset.Sets
-	sessions   map[uint64]*session
-	lastID     uint64
-	draining   bool
-	running    sync.WaitGroup
 }
 
 type session struct {
@@ -62,16 +64,17 @@
 	f           *Front
 	id          uint64
 	reader      *bufio.Reader
-	messageSize int  // preferred message size in bytes
-	recordSize  int  // greatest record size in bytes
-	busy        bool // an operation is in flight; guarded by the front's mu
+	messageSize int // preferred message size in bytes
+	recordSize  int // greatest record size in bytes
 	operations  int
+	state       *clientconn.Conn
 }
 
 // Listen opens a front's listener. An unknown query type or tenant is an error.
 func Listen(b front.Broker, o operator.Z3950) (*Front, error) {
-	f := &Front{broker: b, o: o, sessions: map[uint64]*session{}, resultSets: resultset.New(resultset.Limits{Bytes: o.Bytes, SetsPerSession: o.MaxResultSets,
+	f := &Front{broker: b, o: o, resultSets: resultset.New(resultset.Limits{Bytes: o.Bytes, SetsPerSession: o.MaxResultSets,
 		Sessions: o.Sessions, Age: o.Age})}
+	f.connections = clientconn.NewSet(clientconn.Limits{Connections: o.Sessions, Used: o.Sessions, ReadGrace: readGrace})
 	var err error
 	if f.ask, err = front.NewSearcher(b, "z3950", o.Type, o.Tenant); err == nil {
 		f.listener, err = net.Listen("tcp", o.Listen)
@@ -85,7 +88,7 @@
 // Serve accepts sessions until ctx ends or Drain is called, then waits for the open ones.
 func (f *Front) Serve(ctx context.Context) error {
 	defer f.ask.LogCounts("z3950")
-	stop := context.AfterFunc(ctx, func() { f.interruptSessions(func(*session) bool { return true }) })
+	stop := context.AfterFunc(ctx, func() { f.listener.Close() })
 	defer stop()
 	for {
 		conn, err := f.listener.Accept()
@@ -101,59 +104,47 @@
 			}
 			continue
 		}
-		s := &session{Conn: conn, f: f, reader: bufio.NewReaderSize(conn, 4<<10), messageSize: 1 << 20, recordSize: 1 << 20}
-		f.mu.Lock()
-		full := len(f.sessions) >= f.o.Sessions || f.draining
-		if f.lastID++; !full {
-			s.id = f.lastID
-			f.sessions[s.id] = s
-			f.running.Add(1)
+		f.lastID++
+		s := &session{Conn: conn, f: f, id: f.lastID, reader: bufio.NewReaderSize(conn, 4<<10), messageSize: 1 << 20, recordSize: 1 << 20}
+		s.state = clientconn.NewConn(func() { conn.SetReadDeadline(pastDeadline) })
+		if !f.connections.Admit(s.state) {
+			s.reject()
+			continue
 		}
-		f.mu.Unlock()
-		if full { // a Close message tells the client the reason
-			conn.SetWriteDeadline(time.Now().Add(time.Second))
-			conn.Write(z3950.Encode(&z3950.Close{Reason: 4, Text: "no session is free"}))
-			conn.Close()
+		if s.state.OverLimit() {
+			f.connections.Remove(s.state)
+			s.reject()
 			continue
 		}
-		go func() {
-			defer f.running.Done()
-			reason := s.serve(ctx)
-			conn.Close()
-			f.mu.Lock()
-			delete(f.sessions, s.id)
-			f.resultSets.EndSession(s.id)
-			f.mu.Unlock()
-			slog.Info("z39.50 session ended", "from", conn.RemoteAddr(), "reason", reason, "operations", s.operations)
-		}()
+		f.running.Go(func() { s.run(ctx) })
 	}
 }
 
-// Drain accepts no more sessions. Idle sessions are closed with a Close message, the others once their operation is answered.
-func (f *Front) Drain() {
-	f.mu.Lock()
-	f.draining = true
-	f.mu.Unlock()
-	f.listener.Close()
-	f.interruptSessions(func(s *session) bool { return !s.busy })
-}
+// pastDeadline is a read deadline in the past: it wakes a blocked reader.
+var pastDeadline = time.Unix(1, 0)
 
-// interruptSessions closes the listener and interrupts the reads of the selected sessions, which then end.
-func (f *Front) interruptSessions(which func(*session) bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.listener.Close()
-	for _, s := range f.sessions {
-		if which(s) {
-			s.SetReadDeadline(time.Unix(1, 0))
-		}
-	}
+// reject ends a session for which there is no capacity, with a Close message that tells the client the reason.
+func (s *session) reject() {
+	s.SetWriteDeadline(time.Now().Add(time.Second))
+	s.Write(z3950.Encode(&z3950.Close{Reason: 4, Text: "no session is free"}))
+	s.Close()
 }
 
-// setBusy records whether the session has an operation in flight, and reports whether the session must end because the front drains.
-func (s *session) setBusy(busy bool) (ending bool) {
+// run serves a session until its end, or that of ctx, and drops what was kept for it.
+func (s *session) run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	reason := s.serve(ctx)
+	s.Close()
+	s.f.connections.Remove(s.state)
 	s.f.mu.Lock()
-	defer s.f.mu.Unlock()
-	s.busy = busy
-	return s.f.draining
+	s.f.resultSets.EndSession(s.id)
+	s.f.mu.Unlock()
+	slog.Info("z39.50 session ended", "from", s.RemoteAddr(), "reason", reason, "operations", s.operations)
+}
+
+// Drain accepts no more sessions. Idle sessions are closed with a Close message, the others once their operation is answered.
+func (f *Front) Drain() {
+	f.listener.Close()
+	f.connections.CloseIdle()
 }
--- a/internal/protocols/front/z3950/session.go
+++ b/internal/protocols/front/z3950/session.go
@@ -7,10 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"time"
 
 	"flaxfront/internal/protocols/z3950"
+	"flaxfront/internal/transport/clientconn"
 )
 
 // serve runs a session: init, then one operation after the other. It returns the reason of its end for the log. Requests that a client
@@ -21,27 +23,29 @@
 		if s.operations == 0 {
 			timeout = initTimeout
 		}
-		s.SetReadDeadline(time.Now().Add(timeout))
-		if s.setBusy(false) {
-			s.write(&z3950.Close{Reason: 1, Text: "the broker stops"})
-			return "drained"
+		deadline := time.Now().Add(timeout)
+		s.SetReadDeadline(deadline)
+		if why := s.f.connections.BecomeIdle(s.state); why != clientconn.StillOpen {
+			return s.end(why)
 		}
 		_, err := s.reader.Peek(1)
-		if err == nil && s.operations > 0 {
-			s.SetReadDeadline(time.Now().Add(messageTimeout))
-		}
+		why := s.f.connections.StartReading(s.state)
 		var m z3950.Message
 		if err == nil {
+			if s.operations > 0 {
+				deadline = time.Now().Add(messageTimeout)
+			}
+			s.SetReadDeadline(deadline) // after StartReading: if the session was ended as idle just before, the message is still read
 			m, err = z3950.Read(s.reader)
 		}
-		ending := s.setBusy(true)
 		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded) && ending:
-			s.write(&z3950.Close{Reason: 1, Text: "the broker stops"})
-			return "drained"
+		case errors.Is(err, os.ErrDeadlineExceeded) && why != clientconn.StillOpen:
+			return s.end(why)
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			s.write(&z3950.Close{Reason: 7, Text: "nothing whole came in time"})
 			return "idle"
+		case errors.Is(err, net.ErrClosed):
+			return "shutdown"
 		case errors.Is(err, io.EOF):
 			return "client_closed"
 		case errors.Is(err, z3950.ErrProtocol):
@@ -50,6 +54,7 @@
 		case err != nil:
 			return "client_reset"
 		}
+		s.f.connections.StartAnswering(s.state)
 		var answer z3950.Message
 		_, isInit := m.(*z3950.InitRequest)
 		switch {
@@ -77,6 +82,16 @@
 	}
 }
 
+// end tells the client why the broker ends its idle session, and returns the reason.
+func (s *session) end(why clientconn.Reason) string {
+	message := &z3950.Close{Reason: 1, Text: "the broker stops"}
+	if why == clientconn.Reclaimed {
+		message = &z3950.Close{Reason: 7, Text: "the session idled, and another client needs its place"}
+	}
+	s.write(message)
+	return string(why)
+}
+
 func errorText(err error) string {
 	t := err.Error()
 	return t[:min(len(t), 200)]
