Result sets: a page costs what it returns, not what was asked for

Cause: Set.Page appended an empty record for each that was not fetched yet, and the front compared the depth that came out with its bound only then. The sum of hits was unbounded too, as a node may state any number.

Change: the needed depth is computed for each shard from where the page begins there; only fetched records are appended. ParseValue refuses more than 2^31-1 hits of a shard.

--- a/internal/decision/resultset/answers.go
+++ b/internal/decision/resultset/answers.go
@@ -73,30 +73,39 @@
 
 // Page returns up to count records from the position start on, which counts from 1. If some of them were not fetched yet, it returns none,
 // and neededDepth is how many records have to be fetched from each shard. ok is false if count is negative or start is not a position in the
-// set; an empty page may begin just behind the last record.
+// set; an empty page may begin just behind the last record. The cost is that of the records returned, whatever count is.
 func (s *Set) Page(start, count int) (page []Record, neededDepth int, ok bool) {
 	total := s.Count()
 	if start < 1 || count < 0 || start > total+1 || count > 0 && start > total {
 		return nil, 0, false
 	}
-	position := 1
+	position := 0      // of the shard's first record, counted from 0
+	remaining := count // records that the page still lacks
 	for _, shard := range s.answer.Shards {
-		hits, answered := s.answer.Hits[shard]
-		if !answered {
+		hits := s.answer.Hits[shard] // 0 if the shard did not answer
+		first := max(0, start-1-position)
+		position += hits
+		if first >= hits || remaining == 0 {
 			continue
 		}
-		for i := max(0, start-position); i < hits && len(page) < count && position+i < start+count; i++ {
-			if i >= len(s.answer.FirstRecords[shard]) {
-				neededDepth = max(neededDepth, min(hits, i+count-len(page)))
-				page = append(page, Record{})
-				continue
-			}
-			page = append(page, Record{shard, s.answer.FirstRecords[shard][i]})
+		fetched := s.answer.FirstRecords[shard]
+		wanted := min(hits-first, remaining)
+		if first+wanted > len(fetched) {
+			neededDepth = max(neededDepth, min(hits, first+remaining))
+		} else {
+			page = appendRecords(page, shard, fetched[first:first+wanted])
 		}
-		position += hits
+		remaining -= wanted
 	}
 	if neededDepth > 0 {
 		return nil, neededDepth, true
 	}
 	return page, 0, true
 }
+
+func appendRecords(page []Record, shard int, bodies [][]byte) []Record {
+	for _, body := range bodies {
+		page = append(page, Record{shard, body})
+	}
+	return page
+}
--- a/internal/protocols/catalogue/catalogue.go
+++ b/internal/protocols/catalogue/catalogue.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 
@@ -22,6 +23,9 @@
 // MaxDepth bounds the number of records that a shard is asked for.
 const MaxDepth = 1000
 
+// maxHits bounds the number of matching records that a node may state, so that sums over shards stay in range. Z39.50 has 31 bits for it.
+const maxHits = math.MaxInt32
+
 // Want is what a shard is asked for: up to Depth of the first records that match a query, in a syntax.
 type Want struct {
 	Depth  int
@@ -69,7 +73,7 @@
 	}
 	hits, err1 := strconv.Atoi(fields[1])
 	n, err2 := strconv.Atoi(fields[2])
-	if errors.Join(err1, err2) != nil || hits < 0 || n < 0 || n > MaxDepth || n > hits {
+	if errors.Join(err1, err2) != nil || hits < 0 || hits > maxHits || n < 0 || n > MaxDepth || n > hits {
 		return 0, nil, errMalformedValue
 	}
 	for range n {
