Z39.50: a client's message may have 256 KiB, not 1 MiB

What callers could do: 64 sessions, each with a message of 1 MiB that comes slowly, held 64 MiB of a broker of 48 to 192 MB. From reading; the memory was not measured with processes.

Cause: one bound for what clients send and what nodes answer, where pages of records need the room.

Change: ReadRequest has a bound of its own. A query within the bounds of package query has 64 KiB as PQF and less than 128 KiB in BER. A length beyond the bound ends the session at once; TestOversizedRequestEndsItsSession waited for 512 KiB in vain before (i/o timeout).

--- a/internal/protocols/front/z3950/limits_test.go
+++ b/internal/protocols/front/z3950/limits_test.go
@@ -9,6 +9,15 @@
 	"flaxfront/internal/server"
 )
 
+// Guards against clients that fill the memory with messages that are far larger than any request: the length alone ends the session.
+func TestOversizedRequestEndsItsSession(t *testing.T) {
+	c := dial(t, startFront(t, archive.New(archive.TextRecord), testOptions()), defaultInit)
+	c.Write([]byte{0xb6, 0x83, 0x08, 0, 0}) // a search request of 512 KiB, of which nothing more comes
+	if m, is := c.receive().(*z3950.Close); !is || m.Reason != 6 {
+		t.Errorf("%+v", m)
+	}
+}
+
 // Guards against one present request that takes memory for as many records as it names, far beyond the broker's limit.
 func TestPresentOfMillionsTakesNoMemory(t *testing.T) {
 	b := archive.New(archive.TextRecord)
--- a/internal/protocols/front/z3950/session.go
+++ b/internal/protocols/front/z3950/session.go
@@ -36,7 +36,7 @@
 				deadline = time.Now().Add(messageTimeout)
 			}
 			s.SetReadDeadline(deadline) // after StartReading: if the session was ended as idle just before, the message is still read
-			m, err = z3950.Read(s.reader)
+			m, err = z3950.ReadRequest(s.reader)
 		}
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded) && why != clientconn.StillOpen:
--- a/internal/protocols/z3950/codec.go
+++ b/internal/protocols/z3950/codec.go
@@ -14,11 +14,16 @@
 
 // Read reads one message. Memory is allocated only as bytes arrive, whatever length the message claims. The error io.EOF means that the
 // connection ended between two messages.
-func Read(r *bufio.Reader) (Message, error) {
+func Read(r *bufio.Reader) (Message, error) { return read(r, MaxPDU) }
+
+// ReadRequest reads one message of a client. As many clients may send at once, its size is bounded more tightly, by MaxRequest.
+func ReadRequest(r *bufio.Reader) (Message, error) { return read(r, MaxRequest) }
+
+func read(r *bufio.Reader, limit int) (Message, error) {
 	var b []byte
 	for {
 		if len(b) > 0 {
-			n, err := ber.Length(b, MaxPDU)
+			n, err := ber.Length(b, limit)
 			if err != nil {
 				return nil, protocolError("%v", err)
 			}
--- a/internal/protocols/z3950/pdu.go
+++ b/internal/protocols/z3950/pdu.go
@@ -25,6 +25,9 @@
 // MaxPDU bounds the bytes of a message, against lengths that claim gigabytes and indefinite lengths that never end.
 const MaxPDU = 1 << 20
 
+// MaxRequest bounds the bytes of a client's message. A query within the bounds of package query takes less than half of it.
+const MaxRequest = 256 << 10
+
 // Tags of the messages (PDUs).
 const (
 	tagInitRequest     = 20
