Z39.50: a client's departure is seen behind whatever it has sent

A search that was read only after its client had left was begun all the same.

Cause: cancelOnDisconnect peeked one byte ahead, and the Close was there; nobody looked for the end before a search was begun.

Change: sessions read through transport/lookahead, as HTTP connections do; its Watch finds the end behind up to 16 KiB and beyond that by poll. Before a search or a deeper page is begun, what can be read without blocking is read ahead.

Evidence: without the change, TestDepartureBehindFurtherMessages "the search was not cancelled within 0.1 s of the close", and TestNothingIsBegunForDepartedClient "5 of 5 searches were begun for clients that had gone".

Not done of the drains in carriers: attempts that wait in a carrier's queue still go to a node that drains.

--- a/internal/protocols/front/z3950/clients_test.go
+++ b/internal/protocols/front/z3950/clients_test.go
@@ -132,6 +132,60 @@
 	})
 }
 
+// Guards against work for a client that sent Close, or further requests, behind its search and then left.
+func TestDepartureBehindFurtherMessages(t *testing.T) {
+	for name, behind := range map[string][]z3950.Message{
+		"a Close":         {&z3950.Close{}},
+		"further queries": {searchRequest(t, "b", "cat"), searchRequest(t, "c", "cat")},
+	} {
+		b := archive.New(archive.TextRecord)
+		f := startFront(t, b, testOptions())
+		c := dial(t, f, defaultInit)
+		b.Update(func(b *archive.Broker) { b.Gate = make(chan struct{}) })
+		c.Write(z3950.Encode(searchRequest(t, "a", "cat")))
+		for _, m := range behind {
+			c.Write(z3950.Encode(m))
+		}
+		waitUntil(t, func() bool { return b.Queries() == 1 })
+		c.Close()
+		select {
+		case err := <-b.Aborted:
+			if !errors.Is(err, context.Canceled) {
+				t.Errorf("%s: %v", name, err)
+			}
+		case <-time.After(100 * time.Millisecond):
+			t.Fatalf("%s: the search was not cancelled within 0.1 s of the close", name)
+		}
+		waitUntil(t, func() bool { return len(f.connections.Snapshot()) == 0 })
+		if b.Queries() != 1 {
+			t.Errorf("%s: %d queries ran for a client that had gone", name, b.Queries())
+		}
+	}
+}
+
+// Guards against a search that is begun for a client that left before it was read.
+func TestNothingIsBegunForDepartedClient(t *testing.T) {
+	b := archive.New(archive.TextRecord)
+	f, err := Listen(b, testOptions())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 5 { // they wait in the kernel's queue, and have gone when they are accepted
+		conn, err := net.Dial("tcp", f.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Write(append(z3950.Encode(defaultInit), z3950.Encode(searchRequest(t, "a", "cat"))...))
+		conn.Close()
+	}
+	serve(t, f)
+	dial(t, f, defaultInit) // accepted after them
+	waitUntil(t, func() bool { return len(f.connections.Snapshot()) == 1 })
+	if n := b.Queries(); n > 0 {
+		t.Errorf("%d of 5 searches were begun for clients that had gone", n)
+	}
+}
+
 // After a drain, operations in flight are answered, then each session is closed with a Close message; new connections fail.
 func TestDrain(t *testing.T) {
 	b := archive.New(archive.TextRecord)
--- a/internal/protocols/front/z3950/front.go
+++ b/internal/protocols/front/z3950/front.go
@@ -3,7 +3,7 @@
 // of the same records, and a partial result is never presented as complete.
 //
 // Depends on config/operator, decision/resultset, protocols/catalogue, protocols/front, protocols/query,
-// protocols/z3950, server, transport/clientconn. Concurrency: each session has a goroutine, which ends with the caller's context; a mutex
+// protocols/z3950, server, transport/clientconn, transport/lookahead. Concurrency: each session has a goroutine, which ends with the caller's context; a mutex
 // guards the result sets.
 package z3950
 
@@ -21,6 +21,7 @@
 	"flaxfront/internal/protocols/front"
 	"flaxfront/internal/protocols/z3950"
 	"flaxfront/internal/transport/clientconn"
+	"flaxfront/internal/transport/lookahead"
 )
 
 const (
@@ -28,6 +29,7 @@
 	messageTimeout  = 10 * time.Second        // for any other message, from its first byte
 	writeTimeout    = 10 * time.Second
 	readGrace       = 250 * time.Millisecond // for a message that has begun to arrive, and for a new session
+	maxLookahead    = 16 << 10               // bytes read ahead of a client's next requests while one is being answered
 	minMessageBytes = 1 << 10                // least message and record size, even if the client asks for less
 )
 
@@ -63,9 +65,10 @@
 	net.Conn
 	f           *Front
 	id          uint64
-	reader      *bufio.Reader
-	messageSize int // preferred message size in bytes
-	recordSize  int // greatest record size in bytes
+	ahead       *lookahead.Reader
+	reader      *bufio.Reader // reads from ahead
+	messageSize int           // preferred message size in bytes
+	recordSize  int           // greatest record size in bytes
 	operations  int
 	state       *clientconn.Conn
 }
@@ -105,7 +108,8 @@
 			continue
 		}
 		f.lastID++
-		s := &session{Conn: conn, f: f, id: f.lastID, reader: bufio.NewReaderSize(conn, 4<<10), messageSize: 1 << 20, recordSize: 1 << 20}
+		ahead := lookahead.New(conn, f.broker.Uptime, maxLookahead)
+		s := &session{Conn: conn, f: f, id: f.lastID, ahead: ahead, reader: bufio.NewReaderSize(ahead, 4<<10), messageSize: 1 << 20, recordSize: 1 << 20}
 		s.state = clientconn.NewConn(func() { conn.SetReadDeadline(pastDeadline) })
 		if !f.connections.Admit(s.state) {
 			s.reject()
--- a/internal/protocols/front/z3950/front_test.go
+++ b/internal/protocols/front/z3950/front_test.go
@@ -36,6 +36,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	serve(t, f)
+	return f
+}
+
+// serve serves a front until the test ends.
+func serve(t testing.TB, f *Front) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- f.Serve(ctx) }()
@@ -45,7 +51,6 @@
 			t.Error(err)
 		}
 	})
-	return f
 }
 
 type client struct {
--- a/internal/protocols/front/z3950/search.go
+++ b/internal/protocols/front/z3950/search.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -100,8 +99,11 @@
 	return out, nil
 }
 
-// ask runs a search on the broker. It is cancelled if the client disconnects meanwhile.
+// ask runs a search on the broker. It is cancelled if the client disconnects meanwhile, and is not begun if it has already.
 func (s *session) ask(ctx context.Context, want *catalogue.Want, refetch bool) (resultset.Answer, server.QueryResult, error) {
+	if s.ahead.ReadAvailable() {
+		return resultset.Answer{}, server.QueryResult{}, context.Canceled
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := s.cancelOnDisconnect(cancel)
@@ -109,18 +111,20 @@
 	return s.f.ask.Search(ctx, want, s.id, refetch)
 }
 
-// cancelOnDisconnect calls cancel if the client disconnects. The returned function ends this and must be called.
+// cancelOnDisconnect calls cancel if the client disconnects, whatever it has sent before that. The returned function ends this and must be
+// called.
 func (s *session) cancelOnDisconnect(cancel func()) (stop func()) {
 	s.SetReadDeadline(time.Time{})
-	readDone := make(chan struct{})
+	stopWatch, watchDone := make(chan struct{}), make(chan struct{})
 	go func() {
-		defer close(readDone)
-		if _, err := s.reader.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		defer close(watchDone)
+		if s.ahead.Watch(stopWatch) != nil {
 			cancel()
 		}
 	}()
 	return func() {
-		s.SetReadDeadline(time.Unix(1, 0))
-		<-readDone
+		close(stopWatch)
+		s.SetReadDeadline(pastDeadline)
+		<-watchDone
 	}
 }
