SRU, Z39.50 nodes: attempts that wait for their turn end when their node drains

Cause: a connection to such a node does one thing at a time. The other attempts of a call waited within it, where the pool counts them as written; EndQueued ends only what waits for a connection. Cancellations were kept by id until their attempt came; of those that came too late nothing took them away, and after 64 further ones were dropped.

Change: the queue of a carrier's connection is a slice with its own lock. The pool withdraws it where it ends what waits (Queue), so that these attempts end as never sent; a cancellation removes its attempt, and one that comes too late leaves nothing behind. Sockets have no such queue.

TestTryWrite cancels an attempt after 128 late cancellations, and withdraws the rest. The rig of runAttempt became a pool that several tests use.

--- a/internal/protocols/back/back.go
+++ b/internal/protocols/back/back.go
@@ -21,7 +21,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"flaxfront/internal/protocols/catalogue"
@@ -38,9 +37,6 @@
 	Post     func(store.Event)
 }
 
-// maxQueuedAttempts bounds the attempts that wait on one connection. As a rule the pool has only one attempt in flight on each.
-const maxQueuedAttempts = 64
-
 var (
 	errSessionRejected = errors.New("node rejected the session")
 	errProtocol        = errors.New("protocol error by the node")
@@ -50,7 +46,7 @@
 func Carrier(ctx context.Context, options Options) store.Carrier {
 	return func(_ string, addr netip.AddrPort, handle store.Handle) func() {
 		ctx, cancel := context.WithCancel(ctx)
-		c := &conn{options: options, addr: addr, handle: handle, ctx: ctx, attempts: make(chan attempt, maxQueuedAttempts), cancelled: map[string]bool{}}
+		c := &conn{options: options, addr: addr, handle: handle, ctx: ctx, attempts: newAttemptQueue()}
 		go func() {
 			defer cancel()
 			err := c.run()
@@ -75,9 +71,7 @@
 	handle  store.Handle
 	ctx     context.Context
 
-	attempts      chan attempt
-	mu            sync.Mutex
-	cancelled     map[string]bool // IDs of attempts cancelled by the pool
+	attempts      *attemptQueue
 	netConn       net.Conn
 	reader        *bufio.Reader
 	lastReference int
@@ -91,11 +85,7 @@
 	}
 	rest := b[5:]
 	if b[4] == 'c' {
-		c.mu.Lock()
-		if len(c.cancelled) < maxQueuedAttempts {
-			c.cancelled[string(rest)] = true
-		}
-		c.mu.Unlock()
+		c.attempts.cancel(string(rest))
 		return len(b), nil
 	}
 	var parsed []attempt
@@ -114,15 +104,15 @@
 		parsed = append(parsed, attempt{fields[0], shard, time.Duration(ms) * time.Millisecond, string(body[:length])})
 		rest = body[length:]
 	}
-	if len(c.attempts)+len(parsed) > cap(c.attempts) {
+	if !c.attempts.add(parsed) {
 		return 0, nil // the queue is full: the pool closes the connection, as it does when a socket's buffer is full
 	}
-	for _, p := range parsed {
-		c.attempts <- p
-	}
 	return len(b), nil
 }
 
+// Withdraw takes back the attempts that wait for their turn, and returns their ids. None of them is sent.
+func (c *conn) Withdraw() (ids []string) { return c.attempts.withdraw() }
+
 // Read always returns io.EOF. The pool does not read from the connection; answers are posted as events of the handle.
 func (c *conn) Read([]byte) (int, error) { return 0, io.EOF }
 
@@ -157,9 +147,8 @@
 			_, err := c.reader.Peek(1)
 			readDone <- err
 		}()
-		var p attempt
 		select {
-		case p = <-c.attempts:
+		case <-c.attempts.added:
 			netConn.SetReadDeadline(time.Unix(1, 0))
 			if err := <-readDone; err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 				return err
@@ -172,11 +161,8 @@
 			}
 			return err
 		}
-		c.mu.Lock()
-		cancelled := c.cancelled[p.id]
-		delete(c.cancelled, p.id)
-		c.mu.Unlock()
-		if cancelled {
+		p, ok := c.attempts.next()
+		if !ok { // cancelled or withdrawn meanwhile
 			continue
 		}
 		netConn.SetDeadline(time.Now().Add(p.timeout + c.options.Dial))
--- a/internal/protocols/back/back_test.go
+++ b/internal/protocols/back/back_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -136,26 +137,37 @@
 
 // TryWrite decodes the frames that the pool writes, returns 0 when the queue is full, and fails on bytes that are not a frame.
 func TestTryWrite(t *testing.T) {
-	c := &conn{attempts: make(chan attempt, 2), cancelled: map[string]bool{}}
+	c := &conn{attempts: newAttemptQueue()}
 	frame := func(text string) []byte {
 		return append(binary.LittleEndian.AppendUint32(nil, uint32(len(text))), text...)
 	}
 	if n, err := c.TryWrite(frame("qa.1 1 d=50 3\nabca.2 2 d=60 0\n")); n == 0 || err != nil {
 		t.Fatal(n, err)
 	}
-	if p := <-c.attempts; p != (attempt{"a.1", 1, 50 * time.Millisecond, "abc"}) {
+	if p, _ := c.attempts.next(); p != (attempt{"a.1", 1, 50 * time.Millisecond, "abc"}) {
 		t.Errorf("%+v", p)
 	}
-	if p := <-c.attempts; p != (attempt{"a.2", 2, 60 * time.Millisecond, ""}) {
+	if p, _ := c.attempts.next(); p != (attempt{"a.2", 2, 60 * time.Millisecond, ""}) {
 		t.Errorf("%+v", p)
 	}
-	c.TryWrite(frame("qa.1 1 d=50 0\na.2 1 d=50 0\n"))
+	for i := range maxQueuedAttempts {
+		c.TryWrite(frame(fmt.Sprintf("qa.%d 1 d=50 0\n", i+100)))
+	}
 	if n, err := c.TryWrite(frame("qa.3 1 d=50 0\n")); n != 0 || err != nil {
 		t.Errorf("a full queue accepted %d bytes, error %v", n, err)
 	}
-	c.TryWrite(frame("ca.1"))
-	if !c.cancelled["a.1"] {
-		t.Error("a cancelled attempt is not recorded as cancelled")
+	for range 2 * maxQueuedAttempts {
+		c.TryWrite(frame("ca.1")) // too late, many times over
+	}
+	c.TryWrite(frame("ca.100"))
+	if p, ok := c.attempts.next(); !ok || p.id != "a.101" {
+		t.Errorf("the first attempt after the cancelled one is %+v, %v", p, ok)
+	}
+	if ids := c.Withdraw(); len(ids) != maxQueuedAttempts-2 || ids[0] != "a.102" {
+		t.Errorf("%d attempts were withdrawn: %v", len(ids), ids)
+	}
+	if p, ok := c.attempts.next(); ok {
+		t.Errorf("%+v is left", p)
 	}
 	for _, bad := range [][]byte{nil, {1, 2, 3}, frame("qx\n"), frame("qa 1 d=5 99\nx"), frame("qa b d=5 0\n")} {
 		if _, err := c.TryWrite(bad); !errors.Is(err, errProtocol) {
--- a/internal/protocols/back/scriptednode_test.go
+++ b/internal/protocols/back/scriptednode_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"context"
 	"net"
 	"net/netip"
 	"testing"
@@ -52,43 +51,72 @@
 	return ln.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// runAttempt sends one attempt to a node through a pool and returns its outcome and value. It cancels the attempt after cancelAfter,
-// unless that is 0.
-func runAttempt(t *testing.T, addr netip.AddrPort, cancelAfter time.Duration) (how decision.Outcome, value string) {
+// testPool is a pool with a carrier to one node, whose events the test handles.
+type testPool struct {
+	*store.Pool
+	events   chan store.Event
+	now      func() time.Duration
+	outcomes map[string]decision.Outcome // of the attempts that have ended, by id
+	values   map[string]string
+}
+
+var testNode = decision.NodeID{Port: 1}
+
+func startPool(t *testing.T, addr netip.AddrPort) *testPool {
 	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	events := make(chan store.Event, 100)
 	start := time.Now()
-	now := func() time.Duration { return time.Since(start) }
-	ended := make(chan struct{}, 1)
-	p := store.NewPool(ctx, store.Limits{Streams: 1, Idle: time.Minute, Dial: 200 * time.Millisecond, Silent: time.Second, Conns: 4}, nil, now,
-		func(f func() error) { go f() }, func(e store.Event) { events <- e }, func(_ *store.Subrequest, o decision.Outcome, _ time.Duration, v string) {
-			how, value = o, v
-			ended <- struct{}{}
+	p := &testPool{events: make(chan store.Event, 100), outcomes: map[string]decision.Outcome{}, values: map[string]string{}}
+	p.now = func() time.Duration { return time.Since(start) }
+	post := func(e store.Event) { p.events <- e }
+	limits := store.Limits{Streams: 1, Idle: time.Minute, Dial: 200 * time.Millisecond, Silent: time.Second, Conns: 4}
+	p.Pool = store.NewPool(t.Context(), limits, nil, p.now, func(f func() error) { go f() }, post,
+		func(a *store.Subrequest, o decision.Outcome, _ time.Duration, v string) {
+			p.outcomes[a.ID], p.values[a.ID] = o, v
 		})
-	p.SetCarrier(Carrier(ctx, Options{Protocol: "z3950", Database: "d", Dial: 200 * time.Millisecond, Now: now, Post: func(e store.Event) { events <- e }}))
-	id := decision.NodeID{Port: 1}
-	p.SetNode(id, "n", addr, decision.StartedLongAgo)
+	p.SetCarrier(Carrier(t.Context(), Options{Protocol: "z3950", Database: "d", Dial: limits.Dial, Now: p.now, Post: post}))
+	p.SetNode(testNode, "n", addr, decision.StartedLongAgo)
+	return p
+}
+
+// attempt returns an attempt of the shard request with an id.
+func (p *testPool) attempt(id string) *store.Subrequest {
 	_, rpn, _ := query.ParsePQF("cat")
-	part := &store.Subrequest{ID: "s.0", Text: (&catalogue.Want{Depth: 3, Syntax: "marcxml", Query: rpn}).Statement(), Deadline: 600 * time.Millisecond, Node: id}
-	p.Send(id, []*store.Subrequest{part})
-	tick := time.NewTicker(5 * time.Millisecond)
-	defer tick.Stop()
-	for {
+	want := catalogue.Want{Depth: 3, Syntax: "marcxml", Query: rpn}
+	return &store.Subrequest{ID: id, Text: want.Statement(), Deadline: p.now() + 600*time.Millisecond, Node: testNode}
+}
+
+// run handles events until done returns true.
+func (p *testPool) run(t *testing.T, done func() bool) {
+	t.Helper()
+	end := time.After(5 * time.Second)
+	for !done() {
 		select {
-		case <-ended:
-			return how, value
-		case e := <-events:
+		case e := <-p.events:
 			p.HandleEvent(e)
-		case <-tick.C:
-			if p.Sweep(now()); cancelAfter > 0 && now() > cancelAfter {
-				p.Cancel(part)
-			}
+		case <-time.After(5 * time.Millisecond):
+			p.Sweep(p.now())
+		case <-end:
+			t.Fatal("not done within 5 s")
 		}
 	}
 }
 
+// runAttempt sends one attempt to a node through a pool and returns its outcome and value. It cancels the attempt after cancelAfter,
+// unless that is 0.
+func runAttempt(t *testing.T, addr netip.AddrPort, cancelAfter time.Duration) (how decision.Outcome, value string) {
+	t.Helper()
+	p := startPool(t, addr)
+	a := p.attempt("s.0")
+	p.Send(testNode, []*store.Subrequest{a})
+	p.run(t, func() bool {
+		if cancelAfter > 0 && p.now() > cancelAfter {
+			p.Cancel(a)
+		}
+		return a.Ended()
+	})
+	return p.outcomes[a.ID], p.values[a.ID]
+}
+
 func acceptInit(m z3950.Message) []byte {
 	if _, is := m.(*z3950.InitRequest); is {
 		return z3950.Encode(&z3950.InitResponse{InitRequest: z3950.InitRequest{Search: true, Present: true}, Accepted: true})
--- a/internal/transport/store/carry.go
+++ b/internal/transport/store/carry.go
@@ -12,6 +12,12 @@
 // are passed to Pool.HandleEvent: first Up or Down; after Up any number of Answered, and finally Down, also after a close.
 type Carrier func(node string, addr netip.AddrPort, h Handle) (closing func())
 
+// Queue is implemented by a carrier's connection that sends attempts one after the other.
+type Queue interface {
+	// Withdraw takes back the attempts that were not sent yet, and returns their ids. They get no answer.
+	Withdraw() (ids []string)
+}
+
 // Handle makes the events of one connection.
 type Handle struct{ conn *conn }
 
--- a/internal/transport/store/end.go
+++ b/internal/transport/store/end.go
@@ -143,7 +143,7 @@
 // Written reports whether the attempt was written completely.
 func (a *Subrequest) Written() bool { return a.written }
 
-// EndQueued ends the attempts that wait for a connection to a node to be established, as never sent. A connection may be established long
+// EndQueued ends the attempts that wait for a connection to a node to be established, or for their turn on one, as never sent. A connection may be established long
 // after the node was chosen, and by then the node may be unlisted or draining, or have restarted and be cold.
 func (p *Pool) EndQueued(id decision.NodeID) {
 	if n := p.nodes[id]; n != nil {
@@ -158,5 +158,19 @@
 		for _, attempts := range queue {
 			p.end(slices.DeleteFunc(attempts, (*Subrequest).Ended), decision.NeverSent)
 		}
+		p.endWithdrawn(c)
+	}
+}
+
+// endWithdrawn takes back the attempts that wait within a carrier's connection for their turn, and ends them as never sent.
+func (p *Pool) endWithdrawn(c *conn) {
+	queue, ok := c.up.(Queue)
+	if !ok {
+		return
+	}
+	for _, id := range queue.Withdraw() {
+		if attempt := c.inFlight.find(id); attempt != nil {
+			p.finish(attempt, decision.NeverSent, p.since(), "")
+		}
 	}
 }
