SRU: a new client that begins late and sends slowly ends within 3 s of connecting

Cause: the wrapper's resume set a deadline whether or not the connection had been interrupted. It acts only then now, and leaves a new connection no more than the grace. The flag for bytes that come early is gone: a request whose first byte net/http has read is found by the look for bytes that crossed the interrupt.

--- a/internal/protocols/front/sru/conns.go
+++ b/internal/protocols/front/sru/conns.go
@@ -68,13 +68,13 @@
 // maxLookahead is the number of bytes read ahead of a client's next request.
 const maxLookahead = 4 << 10
 
-// clientConn is a client's connection, which net/http reads. Only its reader's goroutine uses ahead and early.
+// clientConn is a client's connection, which net/http reads. Only its reader's goroutine uses ahead and used.
 type clientConn struct {
 	net.Conn
 	set   *clientconn.Set
 	state *clientconn.Conn
 	ahead *lookahead.Reader
-	early bool // bytes of the next request arrived while the last one was being answered
+	used  bool // a request has arrived on it
 	close sync.Once
 
 	mu          sync.Mutex
@@ -89,12 +89,20 @@
 	c.Conn.SetReadDeadline(pastDeadline)
 }
 
-// resume lets a request be read whose first bytes arrived just as its connection was to give way.
+// resume lets a request be read whose first bytes arrived just as its connection was to give way. A new connection gets no more than the grace,
+// as its client is owed an error or a close soon after connecting.
 func (c *clientConn) resume() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.interrupted {
+		return
+	}
+	left := readGrace
+	if c.used {
+		left = headerTimeout
+	}
 	c.interrupted = false
-	c.Conn.SetReadDeadline(time.Now().Add(headerTimeout))
+	c.Conn.SetReadDeadline(time.Now().Add(left))
 }
 
 // SetReadDeadline sets the deadline of reads, unless the connection is to give way.
@@ -116,20 +124,11 @@
 			n, err = c.ahead.Read(p)
 		}
 	}
-	if n > 0 {
-		c.bytesArrived()
-	}
-	return n, err
-}
-
-func (c *clientConn) bytesArrived() {
-	switch c.set.State(c.state) {
-	case reclaim.Idle:
+	if n > 0 && c.set.State(c.state) == reclaim.Idle {
 		c.set.StartReading(c.state)
 		c.resume()
-	case reclaim.Busy:
-		c.early = true
 	}
+	return n, err
 }
 
 // Close closes the connection.
@@ -146,15 +145,12 @@
 	}
 	switch state {
 	case http.StateActive:
+		c.used = true
 		c.set.StartAnswering(c.state)
 	case http.StateIdle:
 		if c.set.BecomeIdle(c.state) != clientconn.StillOpen {
 			c.interrupt()
 		}
-		if c.early {
-			c.early = false
-			c.set.StartReading(c.state)
-		}
 	}
 }
 
@@ -165,12 +161,16 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// fate reports whether a request has to be shed, as its connection is beyond the limit, and whether its answer is the connection's last.
-func fate(r *http.Request) (shed, last bool) {
-	c, is := r.Context().Value(connKey{}).(*clientConn)
-	if !is {
-		return false, false
-	}
-	shed = c.state.OverLimit()
-	return shed, shed || c.set.EndReason(c.state) != clientconn.StillOpen
+// connOf returns the connection that a request came over, or nil if that is not known.
+func connOf(r *http.Request) *clientConn {
+	c, _ := r.Context().Value(connKey{}).(*clientConn)
+	return c
+}
+
+// overLimit reports whether the connection's request has to be shed, as it was admitted beyond the limit.
+func (c *clientConn) overLimit() bool { return c != nil && c.state.OverLimit() }
+
+// ending reports whether the connection's next answer is its last.
+func (c *clientConn) ending() bool {
+	return c != nil && (c.state.OverLimit() || c.set.EndReason(c.state) != clientconn.StillOpen)
 }
--- a/internal/protocols/front/sru/conns_test.go
+++ b/internal/protocols/front/sru/conns_test.go
@@ -140,3 +140,22 @@
 		t.Error("no request was answered")
 	}
 }
+
+// A new client that begins late and sends slowly gets an error or a close within 3 s of connecting, also while connections are needed.
+func TestSlowNewClientEndsInTime(t *testing.T) {
+	f := startSmallFront(t, archive.New(archive.DublinCoreRecord))
+	began := time.Now()
+	c := dialRaw(t, f)
+	c.SetDeadline(began.Add(4 * time.Second))
+	go func() {
+		time.Sleep(2 * time.Second)
+		for _, b := range []byte("GET /?query=cat HTTP/1.1\r\nHost: x\r\n") {
+			c.Write([]byte{b})
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	c.receive()
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("the connection ended after %v", took)
+	}
+}
--- a/internal/protocols/front/sru/front.go
+++ b/internal/protocols/front/sru/front.go
@@ -92,8 +92,8 @@
 
 // ServeHTTP answers one explain or searchRetrieve request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	shed, last := fate(r)
-	if last {
+	conn := connOf(r)
+	if conn.ending() {
 		w.Header().Set("Connection", "close")
 	}
 	if name := strings.Trim(r.URL.Path, "/"); name != "" && name != f.options.Database {
@@ -115,7 +115,7 @@
 	}
 	response := &sru.Response{Version: q.Version, Query: q.QueryText, Escaped: q.Escaped}
 	status := http.StatusOK
-	if shed {
+	if conn.overLimit() {
 		status, diagnostic = http.StatusServiceUnavailable, sru.NewDiagnostic(2, "all connections are in use; try again")
 	}
 	if diagnostic == nil {
