Translation of Type-1 terms: a function an attribute, behaviour as before

RPN.toNode had 75 lines for an operand; use, relation, structure with completeness and position, and term with truncation are functions of their own.

--- a/internal/protocols/query/fromrpn.go
+++ b/internal/protocols/query/fromrpn.go
@@ -3,7 +3,7 @@
 // This file translates Type-1 queries into the tree of CQL queries.
 
 import (
-	"slices"
+	"cmp"
 	"strconv"
 	"strings"
 	"unicode/utf8"
@@ -22,33 +22,52 @@
 }
 
 func (r *RPN) toNode() (*Node, error) {
-	if !r.IsOperand() {
+	switch {
+	case !r.IsOperand():
 		return r.toBoolean()
+	case r.ResultSet == "":
+		return r.toClause()
+	case !utf8.ValidString(r.ResultSet):
+		return nil, badResultSet.withDetails(-1, "not UTF-8: %.40q", r.ResultSet)
 	}
-	if r.ResultSet != "" {
-		if !utf8.ValidString(r.ResultSet) {
-			return nil, badResultSet.withDetails(-1, "not UTF-8: %.40q", r.ResultSet)
-		}
-		return &Node{ResultSet: r.ResultSet}, nil
-	}
+	return &Node{ResultSet: r.ResultSet}, nil
+}
+
+// Attribute values that stand for all records, whatever the term is.
+const (
+	useAnyRecord          = 1036
+	relationAlwaysMatches = 103
+)
+
+// toClause translates a term and its attributes.
+func (r *RPN) toClause() (*Node, error) {
 	if err := r.checkAttributes(); err != nil {
 		return nil, err
 	}
-	n := &Node{Relation: "="}
-	use := r.attributeValue(Use)
-	if r.attributeValue(Relation) == 103 || use == 1036 {
+	if r.attributeValue(Relation) == relationAlwaysMatches || r.attributeValue(Use) == useAnyRecord {
 		return &Node{Index: "cql.allRecords", Relation: "=", Term: "1"}, nil
 	}
-	row := slices.IndexFunc(useAttributes, func(u struct {
-		index string
-		use   int
-	}) bool {
-		return u.use == use || use == 0 && u.use == 1016
-	})
-	if row < 0 {
-		return nil, badIndex.withDetails(-1, "use attribute %d", use)
+	n := &Node{Relation: "="}
+	for _, translate := range []func(*Node) error{r.translateUse, r.translateRelation, r.translateStructure, r.translateTerm} {
+		if err := translate(n); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+func (r *RPN) translateUse(n *Node) error {
+	use := cmp.Or(r.attributeValue(Use), useAttribute(""))
+	for _, u := range useAttributes {
+		if u.use == use {
+			n.Index = u.index
+			return nil
+		}
 	}
-	n.Index = useAttributes[row].index
+	return badIndex.withDetails(-1, "use attribute %d", use)
+}
+
+func (r *RPN) translateRelation(n *Node) error {
 	switch relation := r.attributeValue(Relation); relation {
 	case 0, 3:
 	case 1, 2, 4, 5, 6:
@@ -56,11 +75,16 @@
 	case 100, 101, 102:
 		n.Modifiers = append(n.Modifiers, Modifier{Name: []string{"fuzzy", "stem", "relevant"}[relation-100]})
 	default:
-		return nil, badRelation.withDetails(-1, "relation attribute %d", relation)
+		return badRelation.withDetails(-1, "relation attribute %d", relation)
 	}
+	return nil
+}
+
+// translateStructure translates the attributes for structure, completeness and position, which together say what the term has to match.
+func (r *RPN) translateStructure(n *Node) error {
 	completeness := r.attributeValue(Completeness)
 	if completeness > 3 {
-		return nil, badCompleteness.withDetails(-1, "completeness attribute %d", completeness)
+		return badCompleteness.withDetails(-1, "completeness attribute %d", completeness)
 	}
 	whole := completeness == 3 || completeness == 2
 	switch structure := r.attributeValue(Structure); {
@@ -76,11 +100,15 @@
 	case structure == 5 || structure == 4 || structure == 100:
 		n.Modifiers = append(n.Modifiers, Modifier{Name: "isoDate"})
 	default:
-		return nil, badModifier.withDetails(-1, "structure attribute %d", structure)
+		return badModifier.withDetails(-1, "structure attribute %d", structure)
 	}
 	if position := r.attributeValue(Position); position > 1 && position != 3 || position == 1 && !whole {
-		return nil, badPosition.withDetails(-1, "position attribute %d", position)
+		return badPosition.withDetails(-1, "position attribute %d", position)
 	}
+	return nil
+}
+
+func (r *RPN) translateTerm(n *Node) error {
 	n.Term = escapeTerm(r.Term)
 	switch truncation := r.attributeValue(Truncation); truncation {
 	case 0, 100:
@@ -91,15 +119,15 @@
 	case 3:
 		n.Term = "*" + n.Term + "*"
 	default:
-		return nil, badMaskingCharacter.withDetails(-1, "truncation attribute %d", truncation)
+		return badMaskingCharacter.withDetails(-1, "truncation attribute %d", truncation)
 	}
 	if r.Term == "" {
-		return nil, emptyTerm.withDetails(-1, "%s", n.Index)
+		return emptyTerm.withDetails(-1, "%s", n.Index)
 	}
 	if !utf8.ValidString(r.Term) {
-		return nil, malformedTerm.withDetails(-1, "not UTF-8: %.40q", r.Term)
+		return malformedTerm.withDetails(-1, "not UTF-8: %.40q", r.Term)
 	}
-	return n, nil
+	return nil
 }
 
 // checkAttributes returns an error unless each attribute is of Bib-1, has a value, and is the only one of its type.
