Z39.50 front: checks, diagnostics and the first records of a search are functions apart

What can't be run, what was not answered and how many records the response has are functions of their own; the present uses the second too, which stood there once more. Diagnostics 18, 21 and 121 have names.

The tests of the front hold as they were.

--- a/internal/protocols/front/z3950/front.go
+++ b/internal/protocols/front/z3950/front.go
@@ -35,15 +35,18 @@
 
 // Bib-1 diagnostics that the front itself sends.
 const (
-	systemError          = 2   // temporary system error
-	presentOutOfRange    = 13  // present request out of range
-	recordTooLarge       = 17  // record exceeds the exceptional record size
-	resourcesExhausted   = 31  // resources exhausted: no records available
-	noSuchResultSet      = 30  // specified result set does not exist
-	resultSetDeleted     = 27  // result set no longer exists - unilaterally deleted by target
-	databaseUnavailable  = 109 // database unavailable
-	unsupportedSyntax    = 239 // record syntax not supported
-	illegalResultSetName = 128 // illegal result set name
+	systemError                 = 2   // temporary system error
+	presentOutOfRange           = 13  // present request out of range
+	recordTooLarge              = 17  // record exceeds the exceptional record size
+	resourcesExhausted          = 31  // resources exhausted: no records available
+	noSuchResultSet             = 30  // specified result set does not exist
+	resultSetDeleted            = 27  // result set no longer exists - unilaterally deleted by target
+	databaseUnavailable         = 109 // database unavailable
+	unsupportedSyntax           = 239 // record syntax not supported
+	illegalResultSetName        = 128 // illegal result set name
+	resultSetExists             = 21  // result set exists and replace indicator off
+	unsupportedResultSetOperand = 18  // result set not supported as a search term
+	unsupportedAttributeSet     = 121 // unsupported attribute set
 )
 
 // Front serves Z39.50 clients on one listener.
--- a/internal/protocols/front/z3950/present.go
+++ b/internal/protocols/front/z3950/present.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"time"
 
 	"flaxfront/internal/decision/resultset"
 	"flaxfront/internal/protocols/catalogue"
@@ -63,15 +62,11 @@
 			return fail(resourcesExhausted, "records beyond the first %d of a part are not fetched", catalogue.MaxDepth)
 		}
 		answer, result, err := s.ask(ctx, &want, true)
-		switch {
-		case err != nil && !result.Answered:
+		if err != nil && !result.Answered {
 			return z3950.Records{}, 0, err
-		case err != nil:
-			return fail(systemError, "%s", errorText(err))
-		case result.Shed:
-			return fail(resourcesExhausted, "try again in %.1f seconds", max(result.RetryAfter, 100*time.Millisecond).Seconds())
-		case !result.Answered:
-			return fail(systemError, "no answer in time")
+		}
+		if fault := unanswered(result, err); fault != nil {
+			return fail(fault.Code, "%s", fault.Text)
 		}
 		f.mu.Lock()
 		set, why = f.resultSets.Extend(s.id, name, answer, f.broker.Uptime())
