--- a/review/9/main.go
+++ b/review/9/main.go
@@ -23,9 +23,9 @@
 	workTime = 120 * time.Millisecond
 
 	libraryClients = 63  // idle ones of each of the two fronts, one less than their settings allow by default
-	silentClients  = 250 // of HTTP
+	silentClients  = 400 // of HTTP
 	recordBytes    = 1 << 20
-	redial         = 50 * time.Millisecond
+	redial         = 10 * time.Millisecond
 	outage         = 4 * time.Second
 	toldWithin     = 6 * time.Second // from when discovery has a change and can be reached
 	grace          = 500 * time.Millisecond
