SRU: a request whose end is ambiguous is refused, and what it conceals is not run

A POST with Content-Length and Transfer-Encoding was answered with 200, and what stood behind its chunks was run as a request of its own: nodes got the parts of a search that nobody had sent. The HTTP listener answers 400 to the same bytes. Cause: two implementations find the end of a request by different rules. net/http, under the SRU front, lets chunks override a length, deletes the length before a handler sees it, unfolds folded fields, ignores chunks in HTTP/1.0, and keeps the connection. Change: framing in transport/httpwire is the one place that says where a body ends or that it is ambiguous. The listener's reader uses it, and a Splitter that follows the bytes and lets net/http have one request at a time; what is behind it is pushed back to the lookahead reader. A request in chunks is the last on its connection, so that its end is not found twice. The limit of 256 lines counted lines of bodies too; it counts fields now. Failed try: refusing all chunks was left out, as clients may send them.

--- a/internal/protocols/front/sru/conns.go
+++ b/internal/protocols/front/sru/conns.go
@@ -156,7 +156,8 @@
 		c.set.StartReading(c.state)
 		c.resume()
 	}
-	if refused := c.account(p[:n]); refused != nil {
+	n, refused := c.account(p[:n])
+	if refused != nil {
 		return 0, refused
 	}
 	return n, err
@@ -178,7 +179,6 @@
 	switch state {
 	case http.StateActive:
 		c.used = true
-		c.request.headEnded()
 		c.set.StartAnswering(c.state)
 	case http.StateIdle:
 		c.request.end()
@@ -206,5 +206,5 @@
 
 // ending reports whether the connection's next answer is its last.
 func (c *clientConn) ending() bool {
-	return c != nil && (c.state.OverLimit() || c.set.EndReason(c.state) != clientconn.StillOpen)
+	return c != nil && (c.request.isLast() || c.state.OverLimit() || c.set.EndReason(c.state) != clientconn.StillOpen)
 }
--- a/internal/protocols/front/sru/incoming.go
+++ b/internal/protocols/front/sru/incoming.go
@@ -1,10 +1,9 @@
 package sru
 
 // This file bounds what a request takes while net/http reads it, which bounds the bytes of a head, but not the number of its fields, nor the memory of
-// all connections together.
+// all connections together. It also lets net/http read one request at a time, and none that could end in two places.
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -17,10 +16,8 @@
 	"flaxfront/internal/transport/membudget"
 )
 
-const (
-	maxHeadLines  = 256 // of a request
-	copiesOfBytes = 4   // of each byte of a request: in buffers, in the decoded request and in its query
-)
+// copiesOfBytes is the number of copies of each byte of a request: in buffers, in the decoded request and in its query.
+const copiesOfBytes = 4
 
 // errRefused is returned by reads of a connection whose request is refused. It looks like a failed read, upon which net/http closes the connection
 // without an answer of its own.
@@ -32,30 +29,38 @@
 	text   string
 }
 
-var (
-	tooManyFields = &refusal{http.StatusRequestHeaderFieldsTooLarge, "too many header fields"}
-	noMemory      = &refusal{http.StatusServiceUnavailable, "no memory for the request; send it again later, or a smaller one"}
-)
+var noMemory = &refusal{http.StatusServiceUnavailable, "no memory for the request; send it again later, or a smaller one"}
 
 // incoming is what has been read of a connection's present request. net/http may read in another goroutine than that which changes states.
 type incoming struct {
-	mu      sync.Mutex
-	memory  membudget.Account
-	lines   int      // of the head, so far
-	refused *refusal // nil: it is read
+	mu       sync.Mutex
+	memory   membudget.Account
+	splitter httpwire.Splitter
+	refused  *refusal // nil: it is read
 }
 
-// add records bytes that have been read, and returns why the request is refused, or nil.
-func (r *incoming) add(b []byte) *refusal {
+// add records bytes that have been read. It returns how many of them belong to the present request, and why that is refused, or nil. Where it ends by
+// our own reading, net/http gets no further byte: it would find another end for some requests, and run what is concealed in their bodies.
+func (r *incoming) add(b []byte) (own int, why *refusal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lines += bytes.Count(b, []byte{'\n'})
+	own, err := r.splitter.Next(b)
+	var invalid *httpwire.MessageError
 	switch {
-	case r.lines > maxHeadLines:
-		r.refused = tooManyFields
-	case !r.memory.TryGrow(len(b) * copiesOfBytes):
+	case errors.As(err, &invalid):
+		r.refused = &refusal{invalid.Status, invalid.Reason}
+	case len(b) <= 1: // net/http looks for the end of the connection by it while a request is answered
+	case !r.memory.TryGrow(own * copiesOfBytes):
 		r.refused = noMemory
 	}
+	return own, r.refused
+}
+
+// refuseForMemory records that nothing more is read, for want of memory.
+func (r *incoming) refuseForMemory() *refusal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refused = noMemory
 	return r.refused
 }
 
@@ -66,35 +71,34 @@
 	return r.refused != nil
 }
 
-// headEnded records that the head is complete: what follows are no header fields.
-func (r *incoming) headEnded() {
+// isLast reports whether no request can follow on the connection.
+func (r *incoming) isLast() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lines = 0
+	return r.splitter.LastOfConnection()
 }
 
 // end records that the request is over, and gives its memory back.
 func (r *incoming) end() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lines = 0
 	r.memory.Close()
 }
 
-// account records bytes that net/http has read, and refuses the request if it takes too much. A read of one byte is that by which net/http looks for
-// the end of the connection while a request is answered.
-func (c *clientConn) account(b []byte) error {
-	if len(b) <= 1 {
-		return nil
+// account records bytes that net/http has asked for, and returns how many of them it gets now. A request that takes too much or has an ambiguous end
+// is refused.
+func (c *clientConn) account(b []byte) (n int, err error) {
+	n, why := c.request.add(b)
+	if why == nil && !c.ahead.PushBack(b[n:]) {
+		why = c.request.refuseForMemory()
 	}
-	why := c.request.add(b)
 	if why == nil {
-		return nil
+		return n, nil
 	}
 	if c.set.State(c.state) == reclaim.Reading { // else the handler answers
 		c.refuse(why)
 	}
-	return errRefused
+	return 0, errRefused
 }
 
 // refuse tells the client why its request is not read, and discards what it still sends for a while, as a close over unread bytes could reset the
--- a/internal/protocols/front/sru/memory_test.go
+++ b/internal/protocols/front/sru/memory_test.go
@@ -47,7 +47,7 @@
 }
 
 func TestRequestsThatTakeTooMuchAreRefused(t *testing.T) {
-	manyFields := "GET /?query=cat HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:\r\n", 2*maxHeadLines) + "\r\n"
+	manyFields := "GET /?query=cat HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:\r\n", 512) + "\r\n"
 	long := "GET /?query=" + strings.Repeat("x", testBudget) + " HTTP/1.1\r\nHost: x\r\n\r\n"
 	for _, c := range []struct {
 		sent   string
--- a/internal/transport/httpwire/httpwire.go
+++ b/internal/transport/httpwire/httpwire.go
@@ -152,7 +152,7 @@
 	if m.Fields, err = s.readFields(); err != nil {
 		return err
 	}
-	length, chunked := -1, false
+	framing := newFraming(!http10)
 	for _, f := range m.Fields {
 		switch f.Name {
 		case "connection":
@@ -163,31 +163,25 @@
 					m.Close = false
 				}
 			}
-		case "content-length":
-			n, err := strconv.ParseUint(f.Value, 10, 31)
-			if err != nil || strings.HasPrefix(f.Value, "+") || length >= 0 && length != int(n) {
-				return messageErrorf(400, "invalid or conflicting content-length %.40q", f.Value)
-			}
-			length = int(n)
-		case "transfer-encoding":
-			if chunked || !strings.EqualFold(f.Value, "chunked") {
-				return messageErrorf(501, "unsupported transfer-encoding %.40q", f.Value)
-			}
-			chunked = true
 		case "expect":
 			return messageErrorf(417, "unsupported expect %.40q", f.Value)
+		default:
+			if err := framing.addField(f.Name, f.Value); err != nil {
+				return err
+			}
 		}
 	}
+	if err := framing.check(); err != nil {
+		return err
+	}
 	switch {
-	case chunked && (length >= 0 || http10):
-		return messageErrorf(400, "chunked body with a content-length, or in HTTP/1.0")
-	case chunked:
+	case framing.chunked:
 		m.Body, err = s.readChunks()
-	case length > MaxBody:
-		return messageErrorf(413, "body of %d bytes is too large", length)
-	case length > 0:
-		m.Body, err = s.readBody(length)
-	case length < 0 && response && m.Status != 204 && m.Status != 304: // the body ends with the connection
+	case framing.length > MaxBody:
+		return messageErrorf(413, "body of %d bytes is too large", framing.length)
+	case framing.length > 0:
+		m.Body, err = s.readBody(framing.length)
+	case framing.length == unstatedLength && response && m.Status != 204 && m.Status != 304: // the body ends with the connection
 		m.Close = true
 		m.Body, err = s.readToEnd()
 	}
--- /dev/null
+++ b/internal/transport/httpwire/splitter.go
@@ -0,0 +1,132 @@
+package httpwire
+
+// This file finds the ends of requests that another HTTP implementation parses.
+
+import (
+	"bytes"
+	"strings"
+)
+
+const (
+	maxSplitLine   = 128 // bytes of a line of a head that a Splitter keeps
+	maxSplitFields = 256 // header fields of a request that a Splitter lets pass
+	versionSuffix  = " HTTP/1.1"
+)
+
+// splitterState is the part of a request that the next byte belongs to.
+type splitterState int
+
+const (
+	inRequestLine splitterState = iota
+	inFields
+	inBody
+	inChunks
+)
+
+// Splitter finds the end of each request among the bytes of a connection, for an HTTP implementation that would read on where a request has an
+// ambiguous end. It is given all bytes in order, in any pieces. It keeps a part of one line only. The zero value is ready for a connection's first
+// byte.
+type Splitter struct {
+	state   splitterState
+	line    [maxSplitLine]byte // the end of a request line, or the start of a header field
+	kept    int                // bytes of line
+	long    bool               // the header field is longer than what is kept
+	fields  int
+	framing framing
+	left    int // bytes of the body
+}
+
+// Next returns how many of the bytes belong to the present request, which is complete if not all do; the others are to be given again once the
+// request is answered. An error is a *MessageError: the end of the request is ambiguous, and the connection can't be used any longer.
+func (s *Splitter) Next(b []byte) (n int, err error) {
+	for n < len(b) {
+		switch s.state {
+		case inBody:
+			part := min(s.left, len(b)-n)
+			n += part
+			if s.left -= part; s.left == 0 {
+				s.state = inRequestLine
+				return n, nil
+			}
+		case inChunks:
+			return len(b), nil
+		default:
+			end := bytes.IndexByte(b[n:], '\n')
+			if end < 0 {
+				s.keep(b[n:])
+				return len(b), nil
+			}
+			s.keep(b[n : n+end])
+			n += end + 1
+			complete, err := s.endLine()
+			if complete || err != nil {
+				return n, err
+			}
+		}
+	}
+	return n, nil
+}
+
+// LastOfConnection reports whether the present request has to be the last one on its connection: its end is not looked for, as it has chunks.
+func (s *Splitter) LastOfConnection() bool { return s.state == inChunks }
+
+// keep records a part of a line without its end.
+func (s *Splitter) keep(part []byte) {
+	if s.state == inRequestLine {
+		part = part[max(0, len(part)-maxSplitLine):]
+		drop := max(0, s.kept+len(part)-maxSplitLine)
+		s.kept = copy(s.line[:], s.line[drop:s.kept])
+	}
+	s.long = s.long || len(part) > maxSplitLine-s.kept
+	s.kept += copy(s.line[s.kept:], part)
+}
+
+// endLine evaluates a line of a head, and reports whether it completes a request without a body.
+func (s *Splitter) endLine() (complete bool, err error) {
+	line := string(bytes.TrimSuffix(s.line[:s.kept], []byte{'\r'}))
+	long := s.long
+	s.kept, s.long = 0, false
+	switch {
+	case s.state == inRequestLine && line == "": // an empty line before a request is ignored
+	case s.state == inRequestLine:
+		s.state, s.fields, s.framing = inFields, 0, newFraming(strings.HasSuffix(line, versionSuffix))
+	case line == "":
+		return s.endHead()
+	default:
+		return false, s.addField(line, long)
+	}
+	return false, nil
+}
+
+// addField records a header field's line.
+func (s *Splitter) addField(line string, long bool) error {
+	name, value, ok := strings.Cut(line, ":")
+	if !ok || !isToken(name) {
+		return messageErrorf(400, "invalid header line %.60q", line)
+	}
+	if s.fields++; s.fields > maxSplitFields {
+		return messageErrorf(431, "more than %d header fields", maxSplitFields)
+	}
+	name = lowerName(name)
+	if long && (name == contentLength || name == transferEncoding) {
+		return messageErrorf(400, "invalid %s %.40q", name, value)
+	}
+	return s.framing.addField(name, strings.Trim(value, " \t"))
+}
+
+// endHead determines where the request's body ends, and reports whether there is none.
+func (s *Splitter) endHead() (complete bool, err error) {
+	if err := s.framing.check(); err != nil {
+		return false, err
+	}
+	switch {
+	case s.framing.chunked:
+		s.state = inChunks
+	case s.framing.length > 0:
+		s.state, s.left = inBody, s.framing.length
+	default:
+		s.state = inRequestLine
+		return true, nil
+	}
+	return false, nil
+}
--- a/internal/transport/lookahead/lookahead.go
+++ b/internal/transport/lookahead/lookahead.go
@@ -46,13 +46,6 @@
 	receiveErr  error
 }
 
-// arrival is the time by which the bytes before an offset had arrived. Too early a time would make a request count as older
-// than it is, so bytes that arrived together all have the time of the last of them.
-type arrival struct {
-	endOffset uint64
-	first, at time.Duration // of the first and the last of the bytes that arrived together
-}
-
 // New returns a reader of a connection that reads at most maxAhead bytes ahead, and only what the budget has memory for; nil: the budget is
 // unlimited. Release gives the memory back.
 func New(conn net.Conn, now func() time.Duration, maxAhead int, budget *membudget.Budget) *Reader {
@@ -95,6 +88,20 @@
 	return n, err
 }
 
+// PushBack takes back the last bytes that Read has returned, and reports false if there is no memory for them. The next Read returns them.
+func (r *Reader) PushBack(b []byte) bool {
+	if len(b) == 0 {
+		return true
+	}
+	capacity := len(b) + len(r.ahead)
+	if more := capacity - r.memory.Held(); more > 0 && !r.memory.TryGrow(more) {
+		return false
+	}
+	r.ahead = append(append(make([]byte, 0, capacity), b...), r.ahead...)
+	r.consumed -= uint64(len(b))
+	return true
+}
+
 // Watch reads ahead until the connection ends, and returns the error of its end. It returns nil at a read deadline, or when stop is
 // closed while the limit is reached. Since a client that keeps sending would use up memory, bytes beyond the limit stay in the kernel, and
 // Watch only checks for the end of the connection.
@@ -210,34 +217,8 @@
 // Release gives back the memory of what was read ahead. The reader must not be used any longer.
 func (r *Reader) Release() { r.memory.Close() }
 
-// recordArrival records that the bytes before an offset have arrived by now.
-func (r *Reader) recordArrival(endOffset uint64) {
-	at := r.now()
-	if last := len(r.arrivals) - 1; last >= 0 && at-r.arrivals[last].first < coalesceInterval {
-		r.arrivals[last].endOffset, r.arrivals[last].at = endOffset, at
-		return
-	}
-	expired := 0
-	for expired < len(r.arrivals) && r.arrivals[expired].endOffset+maxParserBuffer < r.consumed {
-		expired++
-	}
-	r.arrivals = append(r.arrivals[:copy(r.arrivals, r.arrivals[expired:])], arrival{endOffset, at, at})
-}
-
 // Unread returns the number of bytes read ahead that Read has not returned yet.
 func (r *Reader) Unread() int { return len(r.ahead) }
 
 // Ended reports whether the end of the connection has been noticed, even if bytes before it are unread.
 func (r *Reader) Ended() bool { return r.err != nil }
-
-// ArrivalTime returns the time by which the last byte that the parser has used had arrived. unused is the number of bytes that Read has
-// returned and that the parser still holds.
-func (r *Reader) ArrivalTime(unused int) time.Duration {
-	end := r.consumed - uint64(unused)
-	for _, m := range r.arrivals {
-		if m.endOffset >= end {
-			return m.at
-		}
-	}
-	return r.now()
-}
--- a/internal/transport/lookahead/lookahead_test.go
+++ b/internal/transport/lookahead/lookahead_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"flaxfront/internal/transport/membudget"
 )
 
 // fakeClock is a clock that the test sets.
@@ -199,3 +201,23 @@
 		}
 	}
 }
+
+// Bytes that are pushed back are read again before those behind them, and are refused where there is no memory for them.
+func TestPushBack(t *testing.T) {
+	near, far := connPair(t)
+	r := New(near, new(fakeClock).now, 4096, membudget.New("test", 1))
+	io.WriteString(far, "first second")
+	p := make([]byte, 64)
+	n, err := io.ReadAtLeast(r, p, len("first second"))
+	if err != nil || !r.PushBack(p[len("first"):n]) {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
+	io.WriteString(far, " third")
+	far.CloseWrite()
+	if rest, err := io.ReadAll(r); string(rest) != " second third" {
+		t.Errorf("read %q, %v", rest, err)
+	}
+	if r.PushBack(make([]byte, 2*readSize)) {
+		t.Error("bytes were taken back without memory")
+	}
+}
