Admission: a queued query that gives way has its result at once, not at the next tick

With the door on, a burst of departures beside new clients ended the broker with a nil dereference in admissionControl.tick, and all that it had taken was lost. Cause: Controller.Arrive evicted a queued query and named it only at the next Tick. In between it was neither queued nor ended. If its client left then, abandon dropped it (Remove found it in no queue), and tick took a nil query out of waiting. Change: Arrive returns a Ruling that names the query that gave way, and the loop sheds it there and then; the list of evicted queries is gone, so that the controller can't name what is no longer queued. No check at each use was added. TestRandomSequences ticked before and after each event and so could not meet the moment; it now draws that.

--- a/internal/decision/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -7,9 +7,13 @@
 //
 //	Arrive ──► Admit ────────────────────────────────────────► router ──► Complete
 //	   ├─────► Enqueue ──► Tick: capacity is free ──► admitted ──┘
-//	   │                   Tick: its wait has expired, or a client with less recent work evicted it ──► rejected
+//	   │                   Tick: its wait has expired ──► rejected
+//	   │                   Arrive of a query whose client has less recent work: evicted ──► rejected
 //	   └─────► Reject, with a Retry-After
 //
+// Every query that a Controller names is queued when it names it, and no longer after that: nothing is left to be told later, when the caller may
+// have dropped the query.
+//
 // Times are durations since the broker's start. A Controller does no I/O, allocates nothing for a query that is admitted at once, and is
 // used by one goroutine.
 package admission
@@ -51,7 +55,7 @@
 
 // Query is what admission control knows about a query.
 type Query struct {
-	ID       uint64
+	ID       uint64 // not 0
 	Tenant   int
 	Client   uint64        // hash of the client's name; 0: unknown
 	Work     float64       // number of shards
@@ -92,7 +96,6 @@
 	policy      Policy
 	tenants     []tenant
 	clients     *Sketch
-	evicted     []Dequeued // since the last Tick
 	virtualTime float64
 	randomState uint64
 	limiter
--- a/internal/decision/admission/arrival.go
+++ b/internal/decision/admission/arrival.go
@@ -5,19 +5,26 @@
 // promisedWaitDivisor divides the longest wait of a new query while the tenant's share is promised to rejected clients.
 const promisedWaitDivisor = 3
 
-// Arrive decides on a query. retryAfter is set if the query is rejected. One tenant's flood does not use up the capacity of others: its
-// queries wait behind one another, and a query that can't be served in time is rejected at once.
-func (c *Controller) Arrive(q Query, now time.Duration) (decision Decision, retryAfter time.Duration) {
+// Ruling is what an arrival brings about.
+type Ruling struct {
+	Decision   Decision
+	RetryAfter time.Duration // if the query is rejected
+	Evicted    Dequeued      // the queued query that is rejected in its place; ID 0: none
+}
+
+// Arrive decides on a query. One tenant's flood does not use up the capacity of others: its queries wait behind one another, and a query that
+// can't be served in time is rejected at once.
+func (c *Controller) Arrive(q Query, now time.Duration) Ruling {
 	t := &c.tenants[q.Tenant]
 	isBusy := c.isBusy(q.Work)
 	c.agePromises(t, q, now)
 	if !t.spendRetryToken(q.Retry, c.policy.RetryShare, isBusy) {
 		c.queriesWaited = true
-		return Reject, c.reject(t, q, now)
+		return c.rejection(t, q, now)
 	}
 	if !isBusy && len(t.queue) == 0 {
 		c.admit(t, q, now)
-		return Admit, 0
+		return Ruling{Decision: Admit}
 	}
 	c.queriesWaited = true
 	patience := time.Duration(c.policy.MaxWaitShare * float64(q.TimeLeft))
@@ -25,17 +32,23 @@
 	wait := c.drainTime(t, ahead, now)
 	othersPromised := !q.Retry && t.promisedUntil > now
 	if othersPromised && wait > patience/promisedWaitDivisor { // the rest of the wait is kept for clients that return after their Retry-After
-		return Reject, c.reject(t, q, now)
+		return c.rejection(t, q, now)
 	}
 	isFull := len(t.queue) >= c.policy.MaxQueued
 	if wait > patience || isFull && heaviest < 0 {
-		return Reject, c.reject(t, q, now)
+		return c.rejection(t, q, now)
 	}
+	ruling := Ruling{Decision: Enqueue}
 	if isFull {
-		c.evict(t, heaviest, now)
+		ruling.Evicted = c.evict(t, heaviest, now)
 	}
 	t.enqueue(q, now, patience)
-	return Enqueue, 0
+	return ruling
+}
+
+// rejection rejects an arriving query.
+func (c *Controller) rejection(t *tenant, q Query, now time.Duration) Ruling {
+	return Ruling{Decision: Reject, RetryAfter: c.reject(t, q, now)}
 }
 
 // isBusy reports whether the store has no capacity now for this much more work.
@@ -65,10 +78,11 @@
 }
 
 // evict rejects a queued query to make room for one of a client that had less work admitted recently.
-func (c *Controller) evict(t *tenant, index int, now time.Duration) {
+func (c *Controller) evict(t *tenant, index int, now time.Duration) Dequeued {
 	q := t.queue[index].Query
-	c.evicted = append(c.evicted, Dequeued{ID: q.ID, RetryAfter: c.reject(t, q, now)})
+	evicted := Dequeued{ID: q.ID, RetryAfter: c.reject(t, q, now)}
 	t.removeAt(index)
+	return evicted
 }
 
 // workAhead returns the work queued ahead of a query in its tenant's queue: that of clients that had no more work admitted recently than
--- a/internal/decision/admission/course_test.go
+++ b/internal/decision/admission/course_test.go
@@ -58,15 +58,24 @@
 		}
 		for id := uint64(1); id < uint64(rapid.IntRange(2, 150).Draw(t, "steps")); id++ {
 			now += time.Duration(rapid.IntRange(0, 80).Draw(t, "ms")) * ms
-			tick()
+			if rapid.Bool().Draw(t, "tick before") {
+				tick()
+			}
 			switch rapid.IntRange(0, 3).Draw(t, "what") {
 			case 0, 1:
 				s := Query{ID: id, Tenant: rapid.IntRange(0, len(weights)-1).Draw(t, "tenant"), Client: uint64(rapid.IntRange(0, 3).Draw(t, "client")),
 					Work: float64(rapid.IntRange(1, 9).Draw(t, "work")), TimeLeft: time.Duration(rapid.IntRange(1, 2000).Draw(t, "left")) * ms,
 					Retry: rapid.Bool().Draw(t, "repeat")}
-				decision, retryAfter := controller.Arrive(s, now)
-				checkRetryAfter(retryAfter)
-				switch decision {
+				ruling := controller.Arrive(s, now)
+				checkRetryAfter(ruling.RetryAfter)
+				if evicted := ruling.Evicted; evicted.ID != 0 {
+					if _, there := queued[evicted.ID]; !there || ruling.Decision != Enqueue || evicted.Admitted {
+						t.Fatalf("query %d evicts query %d, which is not queued: %+v", id, evicted.ID, ruling)
+					}
+					delete(queued, evicted.ID)
+					checkRetryAfter(evicted.RetryAfter)
+				}
+				switch ruling.Decision {
 				case Admit:
 					admitted[id] = s.Work
 				case Enqueue:
@@ -87,8 +96,11 @@
 					break
 				}
 			}
-			tick()
+			if rapid.Bool().Draw(t, "tick behind") {
+				tick()
+			}
 		}
+		tick()
 	})
 }
 
--- a/internal/decision/admission/golden_test.go
+++ b/internal/decision/admission/golden_test.go
@@ -29,6 +29,7 @@
 	admitted   []Query
 	admittedAt []time.Duration // of admitted, by index
 	delay      time.Duration   // of the store
+	evicted    []Dequeued      // since the last tick, with which they are digested, as when the digests were recorded
 	tenants    int
 }
 
@@ -52,9 +53,12 @@
 		TimeLeft: p.randomDuration(2*time.Second) + time.Millisecond,
 		Retry:    p.rnd.IntN(5) == 0,
 	}
-	decision, retryAfter := p.controller.Arrive(s, p.now)
-	fmt.Fprintln(p.digest, uint8(decision), int64(retryAfter))
-	switch decision {
+	ruling := p.controller.Arrive(s, p.now)
+	fmt.Fprintln(p.digest, uint8(ruling.Decision), int64(ruling.RetryAfter))
+	if ruling.Evicted.ID != 0 {
+		p.evicted = append(p.evicted, ruling.Evicted)
+	}
+	switch ruling.Decision {
 	case Admit:
 		p.recordAdmitted(s)
 	case Enqueue:
@@ -79,7 +83,8 @@
 }
 
 func (p *player) tick() {
-	dequeued, next := p.controller.Tick(p.now, nil)
+	dequeued, next := p.controller.Tick(p.now, p.evicted)
+	p.evicted = nil
 	fmt.Fprintln(p.digest, len(dequeued), int64(next))
 	for _, l := range dequeued {
 		fmt.Fprintln(p.digest, l.ID, l.Admitted, int64(l.RetryAfter))
--- a/internal/decision/admission/queue.go
+++ b/internal/decision/admission/queue.go
@@ -16,14 +16,12 @@
 // notDue is the time of the next Tick if no query is queued.
 const notDue time.Duration = math.MaxInt64
 
-// Tick appends to out the queries that leave the queues: those evicted since the last call, those that the store has capacity for, in the
-// order of their start tags, and those whose wait has expired. next is when to call Tick again.
+// Tick appends to out the queries that leave the queues: those that the store has capacity for, in the order of their start tags, and those
+// whose wait has expired. next is when to call Tick again.
 func (c *Controller) Tick(now time.Duration, out []Dequeued) (dequeued []Dequeued, next time.Duration) {
 	if c.endWindowIfDue(now) {
 		c.queriesWaited = slices.ContainsFunc(c.tenants, func(t tenant) bool { return len(t.queue) > 0 })
 	}
-	out = append(out, c.evicted...)
-	c.evicted = c.evicted[:0]
 	out, next = c.admitQueued(now, out)
 	// Admission comes before expiry: otherwise a broker that runs late would reject all queued queries, whatever capacity is free by now.
 	return c.expireQueued(now, out, next)
--- a/internal/decision/admission/rig_test.go
+++ b/internal/decision/admission/rig_test.go
@@ -97,13 +97,16 @@
 // arrive asks the controller for its decision on a query.
 func (r *simulation) arrive(j *job) {
 	j.TimeLeft = j.deadline - r.now
-	decision, retryAfter := r.Arrive(j.Query, r.now)
-	switch decision {
+	ruling := r.Arrive(j.Query, r.now)
+	switch ruling.Decision {
 	case Admit:
 		r.serve(j)
 	case Reject:
-		r.finish(j, "turned", retryAfter)
+		r.finish(j, "turned", ruling.RetryAfter)
 	case Enqueue:
+		if evicted := ruling.Evicted; evicted.ID != 0 {
+			r.finish(r.jobs[evicted.ID], "turned", evicted.RetryAfter)
+		}
 		r.runTick()
 	}
 }
--- a/internal/lab/queues.go
+++ b/internal/lab/queues.go
@@ -37,7 +37,7 @@
 		{"start-time fair queuing", func() queuingPolicy { return newFixedLimit(5, self, startTimeFair) }},
 		{"stochastic, 4 buckets", func() queuingPolicy { return newFixedLimit(4, func(t int) int { return t * 7 % 4 }, startTimeFair) }},
 		{"start-time and an adaptive limit", func() queuingPolicy {
-			return adaptiveLimit{admission.NewController(admission.Policy{Weights: queueWeights, MaxWaitShare: 0.25, MaxQueued: 64, MinWork: 8,
+			return &adaptiveLimit{Controller: admission.NewController(admission.Policy{Weights: queueWeights, MaxWaitShare: 0.25, MaxQueued: 64, MinWork: 8,
 				MaxRetryAfter: 2 * time.Second, RetryShare: 0.2, Seed: 7})}
 		}},
 	} {
--- a/internal/lab/sharing.go
+++ b/internal/lab/sharing.go
@@ -122,17 +122,26 @@
 }
 
 // adaptiveLimit is the policy that brokers use.
-type adaptiveLimit struct{ *admission.Controller }
+type adaptiveLimit struct {
+	*admission.Controller
+	evicted []uint64 // since the last call of next
+}
 
-func (d adaptiveLimit) arrive(s admission.Query, now time.Duration) admission.Decision {
-	r, _ := d.Arrive(s, now)
-	return r
+func (d *adaptiveLimit) arrive(s admission.Query, now time.Duration) admission.Decision {
+	ruling := d.Arrive(s, now)
+	if ruling.Evicted.ID != 0 {
+		d.evicted = append(d.evicted, ruling.Evicted.ID)
+	}
+	return ruling.Decision
 }
-func (d adaptiveLimit) done(work float64, took, now time.Duration) {
+
+func (d *adaptiveLimit) done(work float64, took, now time.Duration) {
 	d.Complete(admission.Completion{Work: work, Elapsed: took, Answered: took < 2*time.Second}, now)
 }
-func (d adaptiveLimit) next(now time.Duration) (enter, turned []uint64) {
+
+func (d *adaptiveLimit) next(now time.Duration) (enter, turned []uint64) {
 	lets, _ := d.Tick(now, nil)
+	turned, d.evicted = d.evicted, nil
 	for _, l := range lets {
 		if l.Admitted {
 			enter = append(enter, l.ID)
--- a/internal/server/admission.go
+++ b/internal/server/admission.go
@@ -62,7 +62,7 @@
 	a.lastTicket++
 	q.admission.ticket = a.lastTicket
 	q.admission.work = float64(len(q.Request.Shards))
-	ruling, retryAfter := a.Arrive(admission.Query{
+	ruling := a.Arrive(admission.Query{
 		ID:       q.admission.ticket,
 		Tenant:   a.tenantOf(q),
 		Client:   q.Client,
@@ -70,7 +70,7 @@
 		TimeLeft: q.deadline - now,
 		Retry:    q.Retry,
 	}, now)
-	switch ruling {
+	switch ruling.Decision {
 	case admission.Admit:
 		a.markAdmitted(q, now)
 		return true
@@ -78,13 +78,30 @@
 		q.admission.queued = true
 		a.waiting[q.admission.ticket] = q
 		a.loop.markInFlight(q)
+		if ruling.Evicted.ID != 0 {
+			a.shedQueued(a.takeWaiting(ruling.Evicted.ID), ruling.Evicted.RetryAfter)
+		}
 	case admission.Reject:
 		a.loop.stats().RejectedByAdmission++
-		a.loop.deliverResult(q, query.Result{Outcome: query.Shed, RetryAfter: retryAfter})
+		a.loop.deliverResult(q, query.Result{Outcome: query.Shed, RetryAfter: ruling.RetryAfter})
 	}
 	return false
 }
 
+// takeWaiting returns a queued query, which is queued no longer.
+func (a *admissionControl) takeWaiting(ticket uint64) *activeQuery {
+	q := a.waiting[ticket]
+	delete(a.waiting, ticket)
+	q.admission.queued = false
+	return q
+}
+
+// shedQueued sheds a query that was queued.
+func (a *admissionControl) shedQueued(q *activeQuery, retryAfter time.Duration) {
+	a.loop.stats().RejectedByAdmission++
+	a.finishQueued(q, query.Result{Outcome: query.Shed, RetryAfter: retryAfter})
+}
+
 func (a *admissionControl) tenantOf(q *activeQuery) int { return min(q.Tenant, len(a.tenants)-1) }
 
 // tick admits or sheds queued queries that are due.
@@ -93,13 +110,10 @@
 	dequeued, next := a.Tick(now, a.dequeued[:0])
 	a.dequeued = dequeued
 	for _, r := range dequeued {
-		q := a.waiting[r.ID]
-		delete(a.waiting, r.ID)
-		q.admission.queued = false
+		q := a.takeWaiting(r.ID)
 		switch {
 		case !r.Admitted:
-			a.loop.stats().RejectedByAdmission++
-			a.finishQueued(q, query.Result{Outcome: query.Shed, RetryAfter: r.RetryAfter})
+			a.shedQueued(q, r.RetryAfter)
 		case !a.loop.hasCapacity(q):
 			a.markAdmitted(q, now)
 			a.loop.stats().NoCapacity++
@@ -121,8 +135,7 @@
 // abandon drops a queued query whose client has left or whose deadline has passed.
 func (a *admissionControl) abandon(q *activeQuery) {
 	a.Remove(a.tenantOf(q), q.admission.ticket)
-	delete(a.waiting, q.admission.ticket)
-	q.admission.queued = false
+	a.takeWaiting(q.admission.ticket)
 	q.done = true
 	a.loop.clearInFlight(q)
 }
