Gateway: a copy that was not sent is no rejection, and all that wait for a link are sent

After one reset of the link between sites 10 to 20 queries that may not run twice got 503 with Retry-After, though the other site ran them. Cause: on the next link all that waited were queued at once as frames; over 1 MiB of them ended that link (does_not_read) though the other side was reading. Conn.Query then returned false, which says that this copy is not written, and executeOne reported that as Rejected, by which HandleResult sheds without regard to mayHaveRun. A link that ends before the loop has handled its beginning leads to the same. Change: Forwarder.HandleNotSent takes the fact by its own name: a query of which an earlier copy was written goes on waiting for a link, within its deadline; a fresh one is shed as before, without a backoff for a rejection that nobody made. Outgoing messages are encoded when they are written, so that queries and kept results, which are held elsewhere, take no memory of the queue; fresh results still count against 1 MiB. As more may wait now, a query states the time left when it is written, and is not written with none.

--- a/internal/decision/forwarding/forwarder.go
+++ b/internal/decision/forwarding/forwarder.go
@@ -94,6 +94,7 @@
 	Forwarded uint64 `json:"Forwarded"`
 	Answered  uint64 `json:"Answered"`
 	Rejected  uint64 `json:"RefusedThere"` // by the other site
+	NotSent   uint64 `json:"NotSent"`      // copies for which the link had already ended
 	Failed    uint64 `json:"FailedThere"`
 	LinkLost  uint64 `json:"Lost"`        // in flight when their link went down
 	Retried   uint64 `json:"Resumed"`     // sent again to the same process over a new link
--- a/internal/decision/forwarding/forwarding.go
+++ b/internal/decision/forwarding/forwarding.go
@@ -91,7 +91,8 @@
 	Text          string
 }
 
-// Outcome is the result of a forwarded query at the other site.
+// Outcome is the result of a forwarded query, as the other site has stated it. What this site knows by itself, such as that a copy was not sent,
+// is no Outcome.
 type Outcome uint8
 
 const (
--- a/internal/decision/forwarding/results.go
+++ b/internal/decision/forwarding/results.go
@@ -34,13 +34,37 @@
 			f.returnQuery(q, harmless, now)
 			continue
 		}
-		q.loseLink(min(now+f.policy.ResumeTimeout, q.Deadline-f.policy.AnswerReserve))
+		f.awaitLink(q, now)
 		if q.Idempotency == decision.Idempotent {
 			f.resolveUncertain(q, now) // it may run again here at once
 		}
 	}
 }
 
+// HandleNotSent is called in place of sending a query for which a Forward action was returned, if this copy of it is never written to the
+// network: the link has ended, and LinkDown has not been called yet. What is known of earlier copies stays: a query of which one was written waits
+// for the next link, as if this one had been lost with it.
+func (f *Forwarder) HandleNotSent(index LinkIndex, id uint64, now time.Duration) {
+	q := f.queries[id]
+	if q == nil || q.link != index || q.state != inFlight {
+		return
+	}
+	f.Counters.NotSent++
+	if !q.mayHaveRun {
+		f.finish(q, Action{Kind: Shed}) // the router has just shed it
+		return
+	}
+	if link := &f.links[index]; link.up {
+		link.inFlight--
+	}
+	f.awaitLink(q, now)
+}
+
+// awaitLink has a query that may have run wait for its lost link.
+func (f *Forwarder) awaitLink(q *forwardedQuery, now time.Duration) {
+	q.loseLink(min(now+f.policy.ResumeTimeout, q.Deadline-f.policy.AnswerReserve))
+}
+
 // repeatRisk is the risk of running a query a second time.
 type repeatRisk uint8
 
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +30,7 @@
 	Tenant          string
 	Shards          int
 	MaxShards       int // most shards of a query
+	StatementBytes  int // least length of a query's statement
 	Rate            float64
 	RunTime         time.Duration
 	Stop            <-chan struct{} // ends the load early; nil: nothing does
@@ -96,7 +98,7 @@
 	ask := struct {
 		Tablets   []tablet `json:"tablets"`
 		Statement string   `json:"statement"`
-	}{Statement: query[:8]}
+	}{Statement: query[:8] + strings.Repeat("x", max(0, l.StatementBytes-8))}
 	for _, s := range shards {
 		ask.Tablets = append(ask.Tablets, tablet{s, 1 / float64(len(shards))})
 	}
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -185,8 +185,8 @@
 func (g *siteGateway) executeOne(q *activeQuery, a forwarding.Action) {
 	switch a.Kind {
 	case forwarding.Forward:
-		if q == nil || g.conns[a.Link] == nil || !g.conns[a.Link].Query(g.encode(q, a)) {
-			g.outgoing.HandleResult(a.Link, a.ID, forwarding.Rejected, g.loop.since()) // it was not sent
+		if g.conns[a.Link] == nil || !g.conns[a.Link].Query(g.encode(q, a)) {
+			g.outgoing.HandleNotSent(a.Link, a.ID, g.loop.since())
 		}
 	case forwarding.Cancel:
 		if c := g.conns[a.Link]; c != nil {
--- a/internal/server/remote_query.go
+++ b/internal/server/remote_query.go
@@ -143,7 +143,7 @@
 		g.remote[k].conn = c
 	case forwarding.AlreadyEnded:
 		if r := g.remote[k]; r != nil && r.result != nil {
-			c.Reply(*r.result)
+			c.ReplyKept(r.result)
 		}
 	case forwarding.Admit:
 		r := &remoteQuery{conn: c, query: &activeQuery{Request: request, deadline: now + left}}
@@ -166,14 +166,19 @@
 	case query.Shed:
 		out.Kind = link.Refused // nothing of it has run, or it is safe to run again
 	}
-	if r.conn != nil {
-		r.conn.Reply(out)
-	}
-	if g.incoming.QueryEnded(k) {
+	keep := g.incoming.QueryEnded(k)
+	if keep {
 		r.result = &out
 	} else {
 		delete(g.remote, k)
 	}
+	switch {
+	case r.conn == nil: // the link is down
+	case keep:
+		r.conn.ReplyKept(r.result)
+	default:
+		r.conn.Reply(out)
+	}
 }
 
 // cancelRemote ends another site's query for which nobody waits any more.
--- a/internal/transport/link/conn.go
+++ b/internal/transport/link/conn.go
@@ -20,7 +20,7 @@
 	handshakeTimeout  = 3 * time.Second // for TLS and the hellos together
 	frameTimeout      = 2 * time.Second // within which a frame that has begun must be complete
 	writeTimeout      = 2 * time.Second // within which a write must be completed
-	maxQueuedBytes    = 1 << 20         // bytes that wait to be written; more end the connection
+	maxQueuedBytes    = 1 << 20         // bytes that only wait to be written; more end the connection
 	replyWindowBytes  = 1 << 20         // bytes of replies that the dialling side has room for
 )
 
@@ -57,7 +57,7 @@
 
 	mu          sync.Mutex
 	urgent      [][]byte // frames of heartbeats, window updates and cancels: they are sent first
-	queue       []queued
+	queue       []outgoing
 	queuedBytes int // in urgent and queue
 	replyWindow int // bytes of replies that the other side still has room for
 	closed      bool
@@ -69,18 +69,12 @@
 	ackedSeq    uint64       // number of the last heartbeat of this side that the other side has acknowledged
 	rtt         atomic.Int64 // nanoseconds, smoothed; 0: not measured yet
 
+	waitingReply []byte               // encoded, until the other side has room for it; nil: none. Only the writer uses it
 	unacked      map[uint64]time.Time // heartbeats not acknowledged yet, and when they were sent
 	heartbeatSeq uint64               // number of the last heartbeat sent
 	queryCount   atomic.Uint64        // queries sent and received
 }
 
-type queued struct {
-	frame   []byte
-	query   uint64 // id, if it is a query
-	isQuery bool
-	isReply bool
-}
-
 // RTT returns the smoothed round-trip time; 0: not measured yet.
 func (c *Conn) RTT() time.Duration { return time.Duration(c.rtt.Load()) }
 
@@ -129,9 +123,9 @@
 	<-done
 	c.mu.Lock()
 	end := &End{Reason: c.reason}
-	for _, q := range c.queue {
-		if q.isQuery {
-			end.Unsent = append(end.Unsent, q.query)
+	for _, m := range c.queue {
+		if m.query != nil {
+			end.Unsent = append(end.Unsent, m.query.ID)
 		}
 	}
 	c.queue, c.urgent = nil, nil
--- a/internal/transport/link/frame.go
+++ b/internal/transport/link/frame.go
@@ -73,6 +73,17 @@
 	ShardRequests   []ShardRequest
 }
 
+const (
+	maxQueryFields     = 256 // bytes of a query's frame beside its texts and shard requests
+	maxShardRequestLen = 24  // bytes of an encoded shard request
+)
+
+// fitsFrame reports whether the query's frame is certain not to be too large.
+func (q *Query) fitsFrame() bool {
+	texts := len(q.Type) + len(q.Tenant) + len(q.Request) + len(q.Text)
+	return maxQueryFields+texts+len(q.ShardRequests)*maxShardRequestLen <= maxFrame
+}
+
 // ShardAnswer is the answer of one shard.
 type ShardAnswer struct {
 	_     struct{} `cbor:",toarray"`
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -80,7 +80,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		c.enqueue(queued{frame: c.frame(frameHeartbeat, heartbeat{Seq: c.nextHeartbeatSeq(), Heartbeat: c.lastReceivedSeq(), Status: &s})}, true)
+		c.enqueueUrgent(c.frame(frameHeartbeat, heartbeat{Seq: c.nextHeartbeatSeq(), Heartbeat: c.lastReceivedSeq(), Status: &s}))
 	}
 }
 
--- a/internal/transport/link/receiving.go
+++ b/internal/transport/link/receiving.go
@@ -82,7 +82,7 @@
 		}
 		c.post(Event{Conn: c, Reply: &v}) // blocks while the loop is behind, which also delays the window update
 		if c.version >= 2 {
-			c.enqueue(queued{frame: c.frame(frameWindowUpdate, windowUpdate{Bytes: len(b) + 5})}, true)
+			c.enqueueUrgent(c.frame(frameWindowUpdate, windowUpdate{Bytes: len(b) + 5}))
 		}
 	default:
 		return fmt.Errorf("%w: unexpected type %q", errFrame, frameType)
--- a/internal/transport/link/sending.go
+++ b/internal/transport/link/sending.go
@@ -9,29 +9,55 @@
 	"time"
 )
 
-// enqueue queues a frame for the writer without blocking. It returns false if the connection has ended, or
-// if the queue is full, which ends the connection.
-func (c *Conn) enqueue(q queued, urgent bool) bool {
-	c.mu.Lock()
-	full := c.queuedBytes+len(q.frame) > maxQueuedBytes
-	if c.closed || full {
-		c.mu.Unlock()
-		if full { // a side that does not read would use ever more memory
-			c.Close("does_not_read")
-		}
+// outgoing is a message that waits to be written. It is encoded when its turn comes: until then it shares the memory of what it carries.
+type outgoing struct {
+	query    *Query // nil: it is a reply
+	queuedAt time.Time
+	reply    *Reply
+	bytes    int // memory that only the queue holds
+}
+
+// entryBytes is the memory of a reply in the queue, beside that of its values.
+const entryBytes = 64
+
+// enqueue queues a message for the writer without blocking. It returns false if the connection has ended, or if too much waits, which ends the
+// connection.
+func (c *Conn) enqueue(m outgoing) bool {
+	if !c.reserve(m.bytes) {
 		return false
 	}
-	c.queuedBytes += len(q.frame)
-	if urgent {
-		c.urgent = append(c.urgent, q.frame)
-	} else {
-		c.queue = append(c.queue, q)
-	}
+	c.queue = append(c.queue, m)
 	c.mu.Unlock()
 	c.signalWriter()
 	return true
 }
 
+// enqueueUrgent queues a frame that is written before all messages, as enqueue does.
+func (c *Conn) enqueueUrgent(frame []byte) {
+	if !c.reserve(len(frame)) {
+		return
+	}
+	c.urgent = append(c.urgent, frame)
+	c.mu.Unlock()
+	c.signalWriter()
+}
+
+// reserve adds to the bytes that wait, and returns with the lock held. If it returns false the lock is not held: the connection has ended, or
+// ends, as a side that does not read would use ever more memory.
+func (c *Conn) reserve(bytes int) bool {
+	c.mu.Lock()
+	full := c.queuedBytes+bytes > maxQueuedBytes
+	if !c.closed && !full {
+		c.queuedBytes += bytes
+		return true
+	}
+	c.mu.Unlock()
+	if full {
+		c.Close("does_not_read")
+	}
+	return false
+}
+
 func (c *Conn) frame(frameType byte, body any) []byte {
 	b, err := appendFrame(nil, frameType, body)
 	if err != nil {
@@ -41,61 +67,105 @@
 	return b
 }
 
-// Query queues a query to be forwarded. It returns false if the query will never be sent.
+// Query queues a query to be forwarded, which the caller holds until it ends: queries take no memory of the queue, however many wait. It returns
+// false if the query will never be written to this connection; that tells nothing of connections to which it was written before.
 func (c *Conn) Query(q Query) bool {
-	b := c.frame(frameQuery, q)
-	return b != nil && c.enqueue(queued{frame: b, query: q.ID, isQuery: true}, false)
+	return q.fitsFrame() && c.enqueue(outgoing{query: &q, queuedAt: time.Now()})
 }
 
 // Cancel informs the other side that a query is abandoned. A query that is still queued is removed instead.
 func (c *Conn) Cancel(id uint64) {
 	c.mu.Lock()
-	for i, q := range c.queue {
-		if q.isQuery && q.query == id {
-			c.queuedBytes -= len(q.frame)
+	for i, m := range c.queue {
+		if m.query != nil && m.query.ID == id {
 			c.queue = append(c.queue[:i:i], c.queue[i+1:]...)
 			c.mu.Unlock()
 			return
 		}
 	}
 	c.mu.Unlock()
-	c.enqueue(queued{frame: c.frame(frameCancel, cancel{ID: id})}, true)
+	c.enqueueUrgent(c.frame(frameCancel, cancel{ID: id}))
 }
 
 // Reply queues the reply to a query.
 func (c *Conn) Reply(r Reply) {
-	b := c.frame(frameReply, r)
-	if b == nil { // too large for a frame
-		b = c.frame(frameReply, Reply{ID: r.ID, Kind: Failed})
+	bytes := entryBytes
+	for i := range r.ShardAnswers {
+		bytes += entryBytes + len(r.ShardAnswers[i].Value)
 	}
-	c.enqueue(queued{frame: b, isReply: true}, false)
+	c.enqueue(outgoing{reply: &r, bytes: bytes})
 }
 
+// ReplyKept queues a reply that the caller keeps in any case. So its values take no memory of the queue, and all that were kept while no
+// connection was up can be queued at once.
+func (c *Conn) ReplyKept(r *Reply) { c.enqueue(outgoing{reply: r, bytes: entryBytes}) }
+
 // WakeWriter wakes the writer, which writes the queued frames.
 func (c *Conn) WakeWriter() { c.signalWriter() }
 
-// dequeue returns the next frame to write; nil: none. A reply waits until the other side has room, and so do the frames queued after it.
-// A reply larger than the whole window is sent once the window is unused.
-func (c *Conn) dequeue() (b []byte, isQuery, closed bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.closed:
-		return nil, false, true
-	case len(c.urgent) > 0:
-		b, c.urgent = c.urgent[0], c.urgent[1:]
-	case len(c.queue) > 0:
-		q := c.queue[0]
-		if q.isReply && c.version >= 2 {
-			if c.replyWindow < len(q.frame) && c.replyWindow < c.RemoteHello.Window {
-				return nil, false, false
-			}
-			c.replyWindow -= len(q.frame)
+// nextFrame returns the next frame to write; nil: none. A reply waits until the other side has room, and so does what was queued after it.
+// A reply larger than the whole window is sent once the window is unused. Only the writer calls it.
+func (c *Conn) nextFrame() (b []byte, closed bool) {
+	for {
+		c.mu.Lock()
+		switch {
+		case c.closed:
+			c.mu.Unlock()
+			return nil, true
+		case len(c.urgent) > 0:
+			b, c.urgent = c.urgent[0], c.urgent[1:]
+			c.queuedBytes -= len(b)
+			c.mu.Unlock()
+			return b, false
+		case c.waitingReply != nil:
+			b = c.takeWaitingReply()
+			c.mu.Unlock()
+			return b, false
+		case len(c.queue) == 0:
+			c.mu.Unlock()
+			return nil, false
+		}
+		m := c.queue[0]
+		c.queue[0] = outgoing{}
+		c.queue = c.queue[1:]
+		c.queuedBytes -= m.bytes
+		c.mu.Unlock()
+		if m.reply != nil {
+			c.waitingReply = c.encodeReply(m.reply)
+		} else if b = c.encodeQuery(&m); b != nil {
+			return b, false
+		}
+	}
+}
+
+// takeWaitingReply returns the reply whose turn it is, if the other side has room for it. The lock must be held.
+func (c *Conn) takeWaitingReply() []byte {
+	b := c.waitingReply
+	if c.version >= 2 {
+		if c.replyWindow < len(b) && c.replyWindow < c.RemoteHello.Window {
+			return nil
 		}
-		b, isQuery, c.queue = q.frame, q.isQuery, c.queue[1:]
+		c.replyWindow -= len(b)
+	}
+	c.waitingReply = nil
+	return b
+}
+
+// encodeQuery encodes a query with the time that it has left now; nil: it has none.
+func (c *Conn) encodeQuery(m *outgoing) []byte {
+	m.query.RemainingMicros -= time.Since(m.queuedAt).Microseconds()
+	if m.query.RemainingMicros <= 0 {
+		return nil
 	}
-	c.queuedBytes -= len(b)
-	return b, isQuery, false
+	c.queryCount.Add(1)
+	return c.frame(frameQuery, m.query)
+}
+
+func (c *Conn) encodeReply(r *Reply) []byte {
+	if b := c.frame(frameReply, r); b != nil {
+		return b
+	}
+	return c.frame(frameReply, Reply{ID: r.ID, Kind: Failed}) // the reply is too large for a frame
 }
 
 // writeLoop is the writer's goroutine: it writes queued frames, and a heartbeat every heartbeatInterval.
@@ -104,14 +174,11 @@
 	defer ticker.Stop()
 	c.heartbeat()
 	for {
-		b, isQuery, closed := c.dequeue()
+		b, closed := c.nextFrame()
 		if closed {
 			return
 		}
 		if b != nil {
-			if isQuery {
-				c.queryCount.Add(1)
-			}
 			c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, err := c.net.Write(b); err != nil {
 				reason := "write_failed"
@@ -153,5 +220,5 @@
 	if receivedSeq > 0 {
 		b.AckDelayMicros = now.Sub(receivedAt).Microseconds()
 	}
-	c.enqueue(queued{frame: c.frame(frameHeartbeat, b)}, true)
+	c.enqueueUrgent(c.frame(frameHeartbeat, b))
 }
