Result sets: the limit on bytes holds for every session and for all that is kept

Cause: Put added the new session and then evicted from the least recently used session, which is one without sets: the one just added. Nothing could be dropped from it, and the loop broke off. The same held for all Puts while any session was empty. Change: all sets are in one list by last use; makeRoom drops the oldest set, or an empty session, until the new set fits, and has no other end. Put refuses beforehand what could never fit. Names, queries, sessions and names of removed sets count too; removed names are kept as hashes, as an SRU name is a query of up to 64 KiB. Lookups no longer walk all sets.

--- a/internal/decision/resultset/answers.go
+++ b/internal/decision/resultset/answers.go
@@ -37,7 +37,7 @@
 			n += len(r) + 48
 		}
 	}
-	return n + 64*len(a.Hits)
+	return n + 64*len(a.Hits) + 8*len(a.Shards)
 }
 
 // print returns a fingerprint of an answer: a hash of which shards answered, how many records match on each, and the first records of each,
@@ -63,6 +63,10 @@
 	answer   Answer
 	lastUsed time.Duration
 	size     int // in bytes, estimated
+
+	name           string
+	session        *sessionSets
+	next, previous *Set // in the order of last use; nil: it is not kept
 }
 
 // Complete reports whether the answer is complete: no shard is missing.
--- a/internal/decision/resultset/resultset.go
+++ b/internal/decision/resultset/resultset.go
@@ -13,7 +13,7 @@
 
 // Limits bounds the result sets that are kept.
 type Limits struct {
-	Bytes          int           // of all sets of all sessions, estimated
+	Bytes          int           // of all that is kept, estimated: answers, names and queries, sessions, and names of sets that are gone
 	SetsPerSession int           // result sets of one session
 	Sessions       int           // that had a result set and have not ended
 	Age            time.Duration // since the last use, after which a set is dropped
@@ -31,16 +31,24 @@
 	Changed        // fetching the answer again gave another answer
 )
 
+// sessionSets is what is kept of a session: its sets, and why others are gone.
 type sessionSets struct {
-	sets    map[string]*Set
-	removed map[string]Status // by name: why a set is gone, for the diagnostic to the client
+	id       uint64
+	sets     map[string]*Set
+	removed  map[uint64]Status // by the hash of a name, for the diagnostic to the client
+	lastUsed time.Duration     // when its last set was used
 }
 
+// bytes returns an estimate of the memory that a session takes beside its sets.
+func (session *sessionSets) bytes() int { return sessionBytes + len(session.removed)*removedNameBytes }
+
 // Sets holds the result sets of all sessions.
 type Sets struct {
 	limits   Limits
 	sessions map[uint64]*sessionSets
-	bytes    int // of all sets
+	recent   recencyList // all sets
+	bytes    int         // of all sets and sessions
+	setBytes int         // of all sets
 	Counts   Counts
 }
 
@@ -50,48 +58,68 @@
 	Created, Expired, Evicted, Changed, Extended uint64 // Created includes Extended
 }
 
-const maxRemovedNames = 64 // of one session; lookups of further removed sets return Unknown
+// Estimates of memory, in bytes, and the number of removed sets of a session that are remembered. Lookups of further ones return Unknown.
+const (
+	setBytes         = 256 // of a set, beside its answer, name and query
+	sessionBytes     = 256 // of a session without sets
+	removedNameBytes = 48
+	maxRemovedNames  = 64
+	maxSessionBytes  = sessionBytes + maxRemovedNames*removedNameBytes
+)
 
 // New returns a Sets without any result set.
 func New(l Limits) *Sets { return &Sets{limits: l, sessions: map[uint64]*sessionSets{}} }
 
 // Put stores an answer as the session's result set of this name and replaces an earlier set of the name. If a limit would be exceeded, it
-// drops the least recently used sets or, for Limits.Sessions, the session of the least recently used set. Put returns false and does not
-// store the answer if it alone exceeds Limits.Bytes.
+// drops the least recently used sets or sessions. Put returns false and does not store the answer if it alone, with what its session
+// remembers of removed sets, exceeds Limits.Bytes.
 func (s *Sets) Put(sessionID uint64, name, query string, fetched Answer, now time.Duration) bool {
 	s.removeExpired(now)
-	size := fetched.bytes()
-	if size > s.limits.Bytes {
+	size := setBytes + len(name) + len(query) + fetched.bytes()
+	if size+maxSessionBytes > s.limits.Bytes {
 		return false
 	}
-	session := s.sessions[sessionID]
-	if session == nil {
-		for len(s.sessions) >= s.limits.Sessions {
-			s.EndSession(s.leastRecentlyUsedSession())
-		}
-		session = &sessionSets{sets: map[string]*Set{}, removed: map[string]Status{}}
-		s.sessions[sessionID] = session
-	}
+	session := s.openSession(sessionID)
 	s.remove(session, name, Found)
 	for len(session.sets) >= s.limits.SetsPerSession {
 		s.remove(session, leastRecentlyUsedSet(session), Evicted)
 	}
-	for s.bytes+size > s.limits.Bytes { // evict the least recently used set of any session
-		victim := s.sessions[s.leastRecentlyUsedSession()]
-		if name := leastRecentlyUsedSet(victim); name != "" || len(victim.sets) > 0 {
-			s.remove(victim, name, Evicted)
-		} else {
-			break
-		}
+	s.makeRoom(size, session)
+	set := &Set{Query: query, answer: fetched, size: size, name: name, session: session}
+	session.sets[name] = set
+	if key := hashName(name); session.removed[key] != Found {
+		delete(session.removed, key)
+		s.bytes -= removedNameBytes
 	}
-	session.sets[name] = &Set{Query: query, answer: fetched, lastUsed: now, size: size}
-	delete(session.removed, name)
 	s.bytes += size
+	s.setBytes += size
+	s.use(set, now)
 	s.Counts.Created++
 	s.updateCounts()
 	return true
 }
 
+// openSession returns a session, which it adds if it is not known. At Limits.Sessions another one ends.
+func (s *Sets) openSession(id uint64) *sessionSets {
+	if session := s.sessions[id]; session != nil {
+		return session
+	}
+	for len(s.sessions) >= s.limits.Sessions {
+		s.EndSession(s.leastRecentlyUsedSession().id)
+	}
+	session := &sessionSets{id: id, sets: map[string]*Set{}, removed: map[uint64]Status{}}
+	s.sessions[id] = session
+	s.bytes += session.bytes()
+	return session
+}
+
+// use marks a set as the one used last.
+func (s *Sets) use(set *Set, now time.Duration) {
+	set.lastUsed = now
+	set.session.lastUsed = now
+	s.recent.moveToEnd(set)
+}
+
 // Get returns a result set and marks it as used, or returns nil and why there is none.
 func (s *Sets) Get(sessionID uint64, name string, now time.Duration) (*Set, Status) {
 	s.removeExpired(now)
@@ -100,10 +128,10 @@
 		return nil, Unknown
 	}
 	if set := session.sets[name]; set != nil {
-		set.lastUsed = now
+		s.use(set, now)
 		return set, Found
 	}
-	if status, removed := session.removed[name]; removed {
+	if status, removed := session.removed[hashName(name)]; removed {
 		return nil, status
 	}
 	return nil, Unknown
@@ -153,82 +181,3 @@
 	slices.Sort(names)
 	return names
 }
-
-// EndSession drops a session with all its result sets.
-func (s *Sets) EndSession(sessionID uint64) {
-	if session := s.sessions[sessionID]; session != nil {
-		for name := range session.sets {
-			s.remove(session, name, Found)
-		}
-		delete(s.sessions, sessionID)
-		s.updateCounts()
-	}
-}
-
-// remove drops a set if it exists. For later lookups it records the status under the set's name, unless the status is Found.
-func (s *Sets) remove(session *sessionSets, name string, status Status) {
-	set := session.sets[name]
-	if set == nil {
-		return
-	}
-	s.bytes -= set.size
-	delete(session.sets, name)
-	switch status {
-	case Found:
-		return
-	case Evicted:
-		s.Counts.Evicted++
-	case Expired:
-		s.Counts.Expired++
-	}
-	if len(session.removed) < maxRemovedNames {
-		session.removed[name] = status
-	}
-}
-
-// removeExpired drops the sets that were not used for longer than Limits.Age.
-func (s *Sets) removeExpired(now time.Duration) {
-	for _, session := range s.sessions {
-		for name, set := range session.sets {
-			if now-set.lastUsed > s.limits.Age {
-				s.remove(session, name, Expired)
-			}
-		}
-	}
-	s.updateCounts()
-}
-
-// updateCounts updates the counts of the sets that are kept now.
-func (s *Sets) updateCounts() {
-	s.Counts.Kept, s.Counts.Bytes = 0, s.bytes
-	for _, session := range s.sessions {
-		s.Counts.Kept += len(session.sets)
-	}
-}
-
-// leastRecentlyUsedSet returns the name of the session's least recently used set, or "" if it has none.
-func leastRecentlyUsedSet(session *sessionSets) (name string) {
-	var best *Set
-	for candidate, set := range session.sets {
-		if best == nil || set.lastUsed < best.lastUsed || set.lastUsed == best.lastUsed && candidate < name {
-			name, best = candidate, set
-		}
-	}
-	return name
-}
-
-// leastRecentlyUsedSession returns the session that has the least recently used set of all; a session without sets comes before all
-// others.
-func (s *Sets) leastRecentlyUsedSession() (sessionID uint64) {
-	earliest, found := time.Duration(0), false
-	for candidate, session := range s.sessions {
-		lastUsed := time.Duration(-1)
-		if set := session.sets[leastRecentlyUsedSet(session)]; set != nil {
-			lastUsed = set.lastUsed
-		}
-		if !found || lastUsed < earliest || lastUsed == earliest && candidate < sessionID {
-			sessionID, earliest, found = candidate, lastUsed, true
-		}
-	}
-	return sessionID
-}
--- a/internal/protocols/front/sru/memory_test.go
+++ b/internal/protocols/front/sru/memory_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"flaxfront/internal/config/operator"
 	"flaxfront/internal/lab/archive"
 	"flaxfront/internal/server"
 	"flaxfront/internal/transport/membudget"
@@ -82,3 +83,24 @@
 	client.Close()
 	b.waitGivenBack(t)
 }
+
+// Guards against result sets of new clients, each with one of its own, being kept beyond the limit on their bytes.
+func TestSetsOfNewClientsAreBounded(t *testing.T) {
+	const limit, clients = 1 << 20, 60
+	o := operator.Default().SRU
+	o.Listen, o.Bytes = "127.0.0.1:0", limit
+	f := serveFront(t, archive.New(func(int, int) string { return "<dc>" + strings.Repeat("d", 6000) + "</dc>" }), o)
+	for i := range clients {
+		c := dialRaw(t, f)
+		fmt.Fprintf(c, "GET /?query=cat HTTP/1.1\r\nHost: x\r\nCookie: user=client%d\r\n\r\n", i)
+		if status, _ := c.receive(); status != 200 {
+			t.Fatalf("client %d: status %d", i, status)
+		}
+		c.Close()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.sets.Counts.Bytes > limit || f.sets.Counts.Kept == 0 || f.sets.Counts.Created != clients {
+		t.Errorf("with %d clients, of a limit of %d bytes: %+v", clients, limit, f.sets.Counts)
+	}
+}
--- a/internal/protocols/front/z3950/memory_test.go
+++ b/internal/protocols/front/z3950/memory_test.go
@@ -1,6 +1,7 @@
 package z3950
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -66,3 +67,22 @@
 	c.Close()
 	waitUntil(t, func() bool { time.Sleep(time.Millisecond); return b.givenBack() })
 }
+
+// Guards against result sets of new sessions, each with one of its own, being kept beyond the limit on their bytes.
+func TestSetsOfNewSessionsAreBounded(t *testing.T) {
+	const limit, sessions = 1 << 20, 60
+	o := testOptions()
+	o.Bytes, o.Sessions, o.Depth = limit, sessions, 10
+	f := startFront(t, archive.New(func(int, int) string { return strings.Repeat("d", 6000) }), o)
+	for i := range sessions {
+		c := dial(t, f, defaultInit)
+		if r, is := c.exchange(searchRequest(t, "a", "cat")).(*z3950.SearchResponse); !is || !r.OK {
+			t.Fatalf("session %d: %+v", i, r)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if counts := f.resultSets.Counts; counts.Bytes > limit || counts.Kept == 0 || counts.Created != sessions {
+		t.Errorf("with %d sessions, of a limit of %d bytes: %+v", sessions, limit, counts)
+	}
+}
