--- a/internal/transport/httpwire/fields.go
+++ b/internal/transport/httpwire/fields.go
@@ -133,11 +133,11 @@
 
 var errLongLine = messageErrorf(431, "line longer than %d bytes", maxLine)
 
-func isToken(s string) bool {
+func isToken[text string | []byte](s text) bool {
 	for i := range len(s) {
 		if c := s[i]; c <= ' ' || c >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
 			return false
 		}
 	}
-	return s != ""
+	return len(s) > 0
 }
--- a/internal/transport/httpwire/splitter.go
+++ b/internal/transport/httpwire/splitter.go
@@ -2,10 +2,7 @@
 
 // This file finds the ends of requests that another HTTP implementation parses.
 
-import (
-	"bytes"
-	"strings"
-)
+import "bytes"
 
 const (
 	maxSplitLine   = 128 // bytes of a line of a head that a Splitter keeps
@@ -83,14 +80,14 @@
 
 // endLine evaluates a line of a head, and reports whether it completes a request without a body.
 func (s *Splitter) endLine() (complete bool, err error) {
-	line := string(bytes.TrimSuffix(s.line[:s.kept], []byte{'\r'}))
+	line := bytes.TrimSuffix(s.line[:s.kept], []byte{'\r'})
 	long := s.long
 	s.kept, s.long = 0, false
 	switch {
-	case s.state == inRequestLine && line == "": // an empty line before a request is ignored
+	case s.state == inRequestLine && len(line) == 0: // an empty line before a request is ignored
 	case s.state == inRequestLine:
-		s.state, s.fields, s.framing = inFields, 0, newFraming(strings.HasSuffix(line, versionSuffix))
-	case line == "":
+		s.state, s.fields, s.framing = inFields, 0, newFraming(bytes.HasSuffix(line, []byte(versionSuffix)))
+	case len(line) == 0:
 		return s.endHead()
 	default:
 		return false, s.addField(line, long)
@@ -99,19 +96,24 @@
 }
 
 // addField records a header field's line.
-func (s *Splitter) addField(line string, long bool) error {
-	name, value, ok := strings.Cut(line, ":")
+func (s *Splitter) addField(line []byte, long bool) error {
+	name, value, ok := bytes.Cut(line, []byte{':'})
 	if !ok || !isToken(name) {
 		return messageErrorf(400, "invalid header line %.60q", line)
 	}
 	if s.fields++; s.fields > maxSplitFields {
 		return messageErrorf(431, "more than %d header fields", maxSplitFields)
 	}
-	name = lowerName(name)
-	if long && (name == contentLength || name == transferEncoding) {
-		return messageErrorf(400, "invalid %s %.40q", name, value)
+	for _, known := range []string{contentLength, transferEncoding} {
+		if !bytes.EqualFold(name, []byte(known)) {
+			continue
+		}
+		if long {
+			return messageErrorf(400, "invalid %s %.40q", known, value)
+		}
+		return s.framing.addField(known, string(bytes.Trim(value, " \t")))
 	}
-	return s.framing.addField(name, strings.Trim(value, " \t"))
+	return nil
 }
 
 // endHead determines where the request's body ends, and reports whether there is none.
