Gateway: results that are kept for other sites share a limit on their bytes

Each result stays until 2 s after its deadline, and with it the whole query. Change: Receiver.KeepResult bounds the bytes; the oldest result gives way and is replaced by "failed", through a KeptReply that the link's queue shares, so that its memory is free at once. Its query stays remembered. The limit is a third of the memory for answers, set aside by memplan where brokers of other sites connect. An ended query is let go. The memory plan's tests hold with the new share.

--- a/internal/decision/forwarding/receiver.go
+++ b/internal/decision/forwarding/receiver.go
@@ -65,6 +65,7 @@
 	slots           int
 	running         bool
 	keepResult      bool // the result may be requested again
+	keptBytes       int  // of its result; 0: none is kept
 }
 
 // Receiver makes the decisions at the site to which queries are forwarded.
@@ -75,11 +76,12 @@
 	linkEndedAt  map[Origin]time.Duration // when the newest link ended
 	slotsUsed    int                      // by remote queries
 	runningCount int
+	kept         keptResults
 	lastShedAt   time.Duration // when a query of this site's clients (an own query) was last shed; 0: never
 	Counters     ReceiverCounters
 }
 
-// ReceiverCounters holds counts since the start of the process, except InFlight and Remembered, which are the present numbers.
+// ReceiverCounters holds counts since the start of the process, except InFlight, Remembered and KeptBytes, which are the present numbers.
 type ReceiverCounters struct {
 	Received   uint64 `json:"Came"`
 	Admitted   uint64 `json:"Ran"`
@@ -89,6 +91,7 @@
 	Cancelled  uint64 `json:"CalledOff"`
 	InFlight   int    `json:"InHand"`
 	Remembered int    `json:"Remembered"`
+	KeptBytes  int    `json:"KeptBytes"` // of results that may be requested again
 }
 
 // NewReceiver returns a Receiver without links.
@@ -205,31 +208,10 @@
 	return true
 }
 
-// ForgetExpired forgets ended queries that can't be requested any more, and returns their keys, whose results may be dropped.
-func (r *Receiver) ForgetExpired(now time.Duration) []Key {
-	var expired []Key
-	remaining := map[Origin]bool{}
-	for k, entry := range r.remembered {
-		if !entry.running && entry.rememberedUntil <= now {
-			delete(r.remembered, k)
-			expired = append(expired, k)
-		} else {
-			remaining[k.Origin] = true
-		}
-	}
-	for o := range r.newestLinks {
-		if !remaining[o] && r.linkEndedAt[o] > 0 && now-r.linkEndedAt[o] > lateMessagePeriod {
-			delete(r.newestLinks, o)
-			delete(r.linkEndedAt, o)
-		}
-	}
-	r.updateCounters()
-	return expired
-}
-
 func (r *Receiver) updateCounters() {
 	r.Counters.Remembered = len(r.remembered)
 	r.Counters.InFlight = r.runningCount
+	r.Counters.KeptBytes = r.kept.bytes
 }
 
 // FreeShare returns the free share of the slots for remote queries, 0 to 1, of a broker with this capacity in slots.
--- a/internal/decision/memplan/memplan.go
+++ b/internal/decision/memplan/memplan.go
@@ -43,6 +43,17 @@
 	Requests    int64       // bytes beyond that, of all requests that arrive or are in flight
 	Answers     int64       // bytes of nodes' answers, until clients have them
 	ResultSets  int64       // bytes of the result sets of one front
+
+	RemoteResults int64 // bytes of the results that are kept for other sites; 0 without ReserveRemoteResults
+}
+
+// remoteResultsDivisor is the part of the memory for answers, as a divisor, that kept results of other sites' queries get.
+const remoteResultsDivisor = 3
+
+// ReserveRemoteResults sets a part of the memory for answers aside for the results that are kept for other sites.
+func (p *Plan) ReserveRemoteResults() {
+	p.RemoteResults = p.Answers / remoteResultsDivisor
+	p.Answers -= p.RemoteResults
 }
 
 // New returns the plan for a memory limit and the size of the program's code in memory, both in bytes, and the connections that the descriptors
--- a/internal/decision/memplan/memplan_test.go
+++ b/internal/decision/memplan/memplan_test.go
@@ -11,8 +11,13 @@
 		for _, code := range []int64{0, 8 * mib, 18 * mib, 40 * mib} {
 			for _, descriptors := range []Connections{{20, 10}, {155, 77}, {667, 333}, {2700, 1350}} {
 				p := New(limit, code, descriptors)
+				answers := p.Answers
+				p.ReserveRemoteResults()
+				if p.Answers+p.RemoteResults != answers || p.RemoteResults <= 0 {
+					t.Errorf("of %d bytes for answers %d are for remote results, and %d are left", answers, p.RemoteResults, p.Answers)
+				}
 				fixed := int64(p.Connections.Clients)*bytesPerClient + int64(p.Connections.Nodes)*bytesPerNode
-				sum := fixed + int64(p.Connections.Clients*p.Guaranteed) + p.Requests + p.Answers + 2*p.ResultSets
+				sum := fixed + int64(p.Connections.Clients*p.Guaranteed) + p.Requests + p.Answers + p.RemoteResults + 2*p.ResultSets
 				if sum > p.Runtime || p.Runtime > limit || code < limit/2 && p.Runtime+code > limit {
 					t.Errorf("limit %d, code %d, descriptors %+v: plan %+v gives out %d", limit, code, descriptors, p, sum)
 				}
@@ -33,6 +38,7 @@
 		largest     = 64 << 10 // bytes of a body or frame
 	)
 	p := New(32*mib, 18*mib, Connections{667, 333})
+	p.ReserveRemoteResults()
 	if p.Connections.Clients < descriptors/3 || p.Connections.Nodes < 100 || p.Requests < 8*largest || p.Answers < 8*largest {
 		t.Errorf("plan %+v", p)
 	}
--- a/internal/server/memory.go
+++ b/internal/server/memory.go
@@ -19,9 +19,13 @@
 	answers  *membudget.Budget
 }
 
-// newMemoryBudgets divides a memory limit, for the connections that the descriptors allow.
-func newMemoryBudgets(limitMB int, d descriptors) memoryBudgets {
+// newMemoryBudgets divides a memory limit, for the connections that the descriptors allow. remoteResults states whether results are kept for other
+// sites.
+func newMemoryBudgets(limitMB int, d descriptors, remoteResults bool) memoryBudgets {
 	plan := memplan.New(int64(limitMB)<<20, codeBytes(), memplan.Connections{Clients: d.clients, Nodes: d.nodes})
+	if remoteResults {
+		plan.ReserveRemoteResults()
+	}
 	return memoryBudgets{
 		plan:     plan,
 		requests: membudget.New("requests", plan.Requests),
--- a/internal/server/remote_query.go
+++ b/internal/server/remote_query.go
@@ -13,9 +13,9 @@
 
 // remoteQuery is a query that another site has forwarded to this one.
 type remoteQuery struct {
-	query  *activeQuery
-	conn   *link.Conn // the link over which it came last; nil: that link is down
-	result *link.Reply
+	query  *activeQuery    // nil: it has ended
+	conn   *link.Conn      // the link over which it came last; nil: that link is down
+	result *link.KeptReply // nil: none is kept
 }
 
 // handleAcceptedLink handles an event of a link that another site has dialled.
@@ -154,33 +154,6 @@
 	}
 }
 
-// sendResult sends another site the result of its query, and keeps it if it may be requested again.
-func (g *siteGateway) sendResult(k forwarding.Key, r *remoteQuery, result query.Result) {
-	out := link.Reply{ID: k.ID, IsComplete: result.Complete, RetryAfterMicros: result.RetryAfter.Microseconds(), Kind: link.Failed}
-	switch result.Outcome {
-	case query.Answered:
-		out.Kind = link.Answered
-		for _, a := range result.Answers {
-			out.ShardAnswers = append(out.ShardAnswers, link.ShardAnswer{Shard: a.Shard, Value: a.Value})
-		}
-	case query.Shed:
-		out.Kind = link.Refused // nothing of it has run, or it is safe to run again
-	}
-	keep := g.incoming.QueryEnded(k)
-	if keep {
-		r.result = &out
-	} else {
-		delete(g.remote, k)
-	}
-	switch {
-	case r.conn == nil: // the link is down
-	case keep:
-		r.conn.ReplyKept(r.result)
-	default:
-		r.conn.Reply(out)
-	}
-}
-
 // cancelRemote ends another site's query for which nobody waits any more.
 func (g *siteGateway) cancelRemote(q *activeQuery) {
 	if q.done {
--- a/internal/transport/link/sending.go
+++ b/internal/transport/link/sending.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,10 +14,23 @@
 type outgoing struct {
 	query    *Query // nil: it is a reply
 	queuedAt time.Time
-	reply    *Reply
+	reply    *KeptReply
 	bytes    int // memory that only the queue holds
 }
 
+// KeptReply is a reply that its owner keeps beside the queue. It may be used from any goroutine.
+type KeptReply struct{ reply atomic.Pointer[Reply] }
+
+// NewKeptReply returns a reply to be kept.
+func NewKeptReply(r Reply) *KeptReply {
+	kept := &KeptReply{}
+	kept.Replace(r)
+	return kept
+}
+
+// Replace replaces the reply, also where it waits to be written. So its owner can give up its memory.
+func (k *KeptReply) Replace(r Reply) { k.reply.Store(&r) }
+
 // entryBytes is the memory of a reply in the queue, beside that of its values.
 const entryBytes = 64
 
@@ -93,12 +107,12 @@
 	for i := range r.ShardAnswers {
 		bytes += entryBytes + len(r.ShardAnswers[i].Value)
 	}
-	c.enqueue(outgoing{reply: &r, bytes: bytes})
+	c.enqueue(outgoing{reply: NewKeptReply(r), bytes: bytes})
 }
 
 // ReplyKept queues a reply that the caller keeps in any case. So its values take no memory of the queue, and all that were kept while no
 // connection was up can be queued at once.
-func (c *Conn) ReplyKept(r *Reply) { c.enqueue(outgoing{reply: r, bytes: entryBytes}) }
+func (c *Conn) ReplyKept(r *KeptReply) { c.enqueue(outgoing{reply: r, bytes: entryBytes}) }
 
 // WakeWriter wakes the writer, which writes the queued frames.
 func (c *Conn) WakeWriter() { c.signalWriter() }
@@ -131,7 +145,7 @@
 		c.queuedBytes -= m.bytes
 		c.mu.Unlock()
 		if m.reply != nil {
-			c.waitingReply = c.encodeReply(m.reply)
+			c.waitingReply = c.encodeReply(m.reply.reply.Load())
 		} else if b = c.encodeQuery(&m); b != nil {
 			return b, false
 		}
