--- a/internal/decision/resultset/eviction.go
+++ b/internal/decision/resultset/eviction.go
@@ -4,7 +4,6 @@
 
 import (
 	"hash/fnv"
-	"io"
 	"time"
 )
 
@@ -76,7 +75,7 @@
 // hashName returns the hash under which a removed set's name is remembered: a name may be as long as a query.
 func hashName(name string) uint64 {
 	h := fnv.New64a()
-	io.WriteString(h, name)
+	h.Write([]byte(name))
 	return h.Sum64()
 }
 
--- a/internal/decision/resultset/eviction_test.go
+++ b/internal/decision/resultset/eviction_test.go
@@ -11,9 +11,9 @@
 // totalBytes adds up what is kept, set by set and session by session.
 func totalBytes(s *Sets) (sum int) {
 	for _, session := range s.sessions {
-		sum += sessionBytes + removedNameBytes*len(session.removed)
+		sum += sessionOverhead + removedNameBytes*len(session.removed)
 		for name, set := range session.sets {
-			sum += setBytes + len(name) + len(set.Query) + set.answer.bytes()
+			sum += setOverhead + len(name) + len(set.Query) + set.answer.bytes()
 		}
 	}
 	return sum
--- a/internal/decision/resultset/resultset.go
+++ b/internal/decision/resultset/resultset.go
@@ -40,7 +40,7 @@
 }
 
 // bytes returns an estimate of the memory that a session takes beside its sets.
-func (session *sessionSets) bytes() int { return sessionBytes + len(session.removed)*removedNameBytes }
+func (session *sessionSets) bytes() int { return sessionOverhead + len(session.removed)*removedNameBytes }
 
 // Sets holds the result sets of all sessions.
 type Sets struct {
@@ -60,11 +60,11 @@
 
 // Estimates of memory, in bytes, and the number of removed sets of a session that are remembered. Lookups of further ones return Unknown.
 const (
-	setBytes         = 256 // of a set, beside its answer, name and query
-	sessionBytes     = 256 // of a session without sets
+	setOverhead      = 256 // of a set, beside its answer, name and query
+	sessionOverhead  = 256 // of a session without sets
 	removedNameBytes = 48
 	maxRemovedNames  = 64
-	maxSessionBytes  = sessionBytes + maxRemovedNames*removedNameBytes
+	maxSessionBytes  = sessionOverhead + maxRemovedNames*removedNameBytes
 )
 
 // New returns a Sets without any result set.
@@ -75,7 +75,7 @@
 // remembers of removed sets, exceeds Limits.Bytes.
 func (s *Sets) Put(sessionID uint64, name, query string, fetched Answer, now time.Duration) bool {
 	s.removeExpired(now)
-	size := setBytes + len(name) + len(query) + fetched.bytes()
+	size := setOverhead + len(name) + len(query) + fetched.bytes()
 	if size+maxSessionBytes > s.limits.Bytes {
 		return false
 	}
