--- a/internal/decision/resultset/resultset.go
+++ b/internal/decision/resultset/resultset.go
@@ -40,7 +40,9 @@
 }
 
 // bytes returns an estimate of the memory that a session takes beside its sets.
-func (session *sessionSets) bytes() int { return sessionOverhead + len(session.removed)*removedNameBytes }
+func (session *sessionSets) bytes() int {
+	return sessionOverhead + len(session.removed)*removedNameBytes
+}
 
 // Sets holds the result sets of all sessions.
 type Sets struct {
