SRU: requests behind one in chunks are answered; the ends of chunks are found as well

Cause: the Splitter did not look for the end of a chunked body. Change: it does, and refuses all forms that implementations read differently (bare line feeds, spaces or signs beside a size, a chunk longer than its size). Failing before: TestPipelinedRequestsAreAnswered, which now has requests in chunks and with trailers in the middle of the others.

--- a/internal/protocols/front/sru/conns.go
+++ b/internal/protocols/front/sru/conns.go
@@ -206,5 +206,5 @@
 
 // ending reports whether the connection's next answer is its last.
 func (c *clientConn) ending() bool {
-	return c != nil && (c.request.isLast() || c.state.OverLimit() || c.set.EndReason(c.state) != clientconn.StillOpen)
+	return c != nil && (c.state.OverLimit() || c.set.EndReason(c.state) != clientconn.StillOpen)
 }
--- a/internal/protocols/front/sru/framing_test.go
+++ b/internal/protocols/front/sru/framing_test.go
@@ -64,7 +64,10 @@
 func TestPipelinedRequestsAreAnswered(t *testing.T) {
 	const get = "GET /?query=cat HTTP/1.1\r\nHost: x\r\n\r\n"
 	post := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", formHead, len(form), form)
-	pipelined := get + post + get + get + post + formHead + "Transfer-Encoding: chunked\r\n\r\n" + chunkedForm()
+	chunked := formHead + "Transfer-Encoding: chunked\r\n\r\n" + chunkedForm()
+	trailed := formHead + "Transfer-Encoding: chunked\r\nTrailer: A\r\n\r\n" + strings.TrimSuffix(chunkedForm(), "\r\n") + "A: 1\r\n\r\n"
+	all := []string{get, post, get, chunked, chunked, post, trailed, get}
+	pipelined := strings.Join(all, "")
 	for _, piece := range []int{1, 50, len(pipelined)} {
 		client := dialRaw(t, startFront(t, archive.New(archive.DublinCoreRecord)))
 		go func() {
@@ -73,8 +76,8 @@
 				time.Sleep(100 * time.Microsecond)
 			}
 		}()
-		for i, wantLast := range []bool{false, false, false, false, false, true} {
-			if status, last := client.receive(); status != http.StatusOK || last != wantLast {
+		for i := range all {
+			if status, last := client.receive(); status != http.StatusOK || last {
 				t.Errorf("pieces of %d: answer %d has status %d, last %v", piece, i, status, last)
 			}
 		}
--- a/internal/protocols/front/sru/incoming.go
+++ b/internal/protocols/front/sru/incoming.go
@@ -71,13 +71,6 @@
 	return r.refused != nil
 }
 
-// isLast reports whether no request can follow on the connection.
-func (r *incoming) isLast() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.splitter.LastOfConnection()
-}
-
 // end records that the request is over, and gives its memory back.
 func (r *incoming) end() {
 	r.mu.Lock()
--- a/internal/transport/httpwire/splitter.go
+++ b/internal/transport/httpwire/splitter.go
@@ -17,7 +17,10 @@
 	inRequestLine splitterState = iota
 	inFields
 	inBody
-	inChunks
+	inChunkSize
+	inChunk
+	inChunkEnd // the line end behind a chunk
+	inTrailer
 )
 
 // Splitter finds the end of each request among the bytes of a connection, for an HTTP implementation that would read on where a request has an
@@ -28,44 +31,47 @@
 	line    [maxSplitLine]byte // the end of a request line, or the start of a header field
 	kept    int                // bytes of line
 	long    bool               // the header field is longer than what is kept
-	fields  int
+	fields  int                // of the head, or of the trailer
 	framing framing
-	left    int // bytes of the body
+	left    int // bytes of the body, or of the chunk
 }
 
 // Next returns how many of the bytes belong to the present request, which is complete if not all do; the others are to be given again once the
 // request is answered. An error is a *MessageError: the end of the request is ambiguous, and the connection can't be used any longer.
 func (s *Splitter) Next(b []byte) (n int, err error) {
 	for n < len(b) {
-		switch s.state {
-		case inBody:
+		if s.state == inBody || s.state == inChunk {
 			part := min(s.left, len(b)-n)
 			n += part
-			if s.left -= part; s.left == 0 {
-				s.state = inRequestLine
+			if s.left -= part; s.left == 0 && s.endPart() {
 				return n, nil
 			}
-		case inChunks:
+			continue
+		}
+		end := bytes.IndexByte(b[n:], '\n')
+		if end < 0 {
+			s.keep(b[n:])
 			return len(b), nil
-		default:
-			end := bytes.IndexByte(b[n:], '\n')
-			if end < 0 {
-				s.keep(b[n:])
-				return len(b), nil
-			}
-			s.keep(b[n : n+end])
-			n += end + 1
-			complete, err := s.endLine()
-			if complete || err != nil {
-				return n, err
-			}
+		}
+		s.keep(b[n : n+end])
+		n += end + 1
+		complete, err := s.endLine()
+		if complete || err != nil {
+			return n, err
 		}
 	}
 	return n, nil
 }
 
-// LastOfConnection reports whether the present request has to be the last one on its connection: its end is not looked for, as it has chunks.
-func (s *Splitter) LastOfConnection() bool { return s.state == inChunks }
+// endPart ends a body or a chunk, and reports whether the request is complete.
+func (s *Splitter) endPart() (complete bool) {
+	if s.state == inChunk {
+		s.state = inChunkEnd
+		return false
+	}
+	s.state = inRequestLine
+	return true
+}
 
 // keep records a part of a line without its end.
 func (s *Splitter) keep(part []byte) {
@@ -78,21 +84,34 @@
 	s.kept += copy(s.line[s.kept:], part)
 }
 
-// endLine evaluates a line of a head, and reports whether it completes a request without a body.
+// endLine evaluates a line, and reports whether it completes a request.
 func (s *Splitter) endLine() (complete bool, err error) {
-	line := bytes.TrimSuffix(s.line[:s.kept], []byte{'\r'})
+	line, hasCR := bytes.CutSuffix(s.line[:s.kept], []byte{'\r'})
 	long := s.long
 	s.kept, s.long = 0, false
-	switch {
-	case s.state == inRequestLine && len(line) == 0: // an empty line before a request is ignored
-	case s.state == inRequestLine:
-		s.state, s.fields, s.framing = inFields, 0, newFraming(bytes.HasSuffix(line, []byte(versionSuffix)))
-	case len(line) == 0:
-		return s.endHead()
-	default:
+	if s.state >= inChunkSize && !hasCR && !long {
+		return false, messageErrorf(400, "line of a chunked body that does not end in CRLF")
+	}
+	switch s.state {
+	case inRequestLine:
+		if len(line) > 0 { // an empty line before a request is ignored
+			s.state, s.fields, s.framing = inFields, 0, newFraming(bytes.HasSuffix(line, []byte(versionSuffix)))
+		}
+		return false, nil
+	case inFields:
+		if len(line) == 0 {
+			return s.endHead()
+		}
 		return false, s.addField(line, long)
+	case inTrailer:
+		if len(line) == 0 {
+			s.state = inRequestLine
+			return true, nil
+		}
+		return false, s.addTrailer(line, long)
+	default:
+		return false, s.endChunkLine(line, long)
 	}
-	return false, nil
 }
 
 // addField records a header field's line.
@@ -123,7 +142,7 @@
 	}
 	switch {
 	case s.framing.chunked:
-		s.state = inChunks
+		s.state = inChunkSize
 	case s.framing.length > 0:
 		s.state, s.left = inBody, s.framing.length
 	default:
