SRU: odd chunks are refused and padded ones are read, shown by a test

Cause: the forms of chunks that the Splitter refuses had no test at the front, and it refused a size padded with spaces, which the HTTP listener and net/http both read the same way. Change: padding is accepted; TestOddChunksAreRefused has eight forms that are not.

--- a/internal/protocols/front/sru/framing_test.go
+++ b/internal/protocols/front/sru/framing_test.go
@@ -83,3 +83,31 @@
 		}
 	}
 }
+
+// Guards against running what stands behind a chunk whose end implementations find in different places.
+func TestOddChunksAreRefused(t *testing.T) {
+	size := fmt.Sprintf("%x", len(form))
+	for name, body := range map[string]string{
+		"a sign":              "+" + size + "\r\n" + form + "\r\n0\r\n\r\n",
+		"a space in front":    " " + size + "\r\n" + form + "\r\n0\r\n\r\n",
+		"a prefix":            "0x" + size + "\r\n" + form + "\r\n0\r\n\r\n",
+		"bare line feeds":     size + "\n" + form + "\n0\n\n",
+		"a line feed behind":  size + "\r\n" + form + "\n0\r\n\r\n",
+		"more than its size":  size + "\r\n" + form + "&x=1\r\n0\r\n\r\n",
+		"a huge size":         "ffffffffffffffff1\r\n" + form + "\r\n0\r\n\r\n",
+		"a malformed trailer": size + "\r\n" + form + "\r\n0\r\nno field\r\n\r\n",
+	} {
+		b := archive.New(archive.DublinCoreRecord)
+		client := dialRaw(t, startFront(t, b))
+		io.WriteString(client, formHead+"Transfer-Encoding: chunked\r\n\r\n"+body+concealedText)
+		if status, last := client.receive(); status < 400 || !last {
+			t.Errorf("%s: status %d, last %v, want an error and a close", name, status, last)
+		}
+		if _, err := client.in.ReadByte(); err == nil {
+			t.Errorf("%s: a further answer", name)
+		}
+		if ran := b.Queries(); ran != 0 {
+			t.Errorf("%s: %d queries were run", name, ran)
+		}
+	}
+}
--- a/internal/transport/httpwire/split_chunks.go
+++ b/internal/transport/httpwire/split_chunks.go
@@ -17,7 +17,7 @@
 		return nil
 	}
 	digits, _, _ := bytes.Cut(line, []byte{';'})
-	size, err := strconv.ParseUint(string(digits), 16, 31)
+	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 31)
 	if err != nil || long || bytes.IndexByte(line, '\r') >= 0 {
 		return messageErrorf(400, "invalid chunk size %.40q", line)
 	}
--- a/internal/transport/httpwire/splitter_test.go
+++ b/internal/transport/httpwire/splitter_test.go
@@ -48,6 +48,7 @@
 	postHead + "Content-Length: 30\r\nContent-Length: 30\r\n\r\nGET /a HTTP/1.1\r\nHost: x\r\n\r\n--GET /a HTTP/1.1\r\nHost: x\r\n\r\n",
 	"GET /" + strings.Repeat("x", 3000) + " HTTP/1.1\r\nHost: x\r\nCookie: " + strings.Repeat("y", 3000) + "\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n",
 	postHead + "Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nhe\r\na\r\n0\r\n\r\n56789\r\n0\r\n\r\n" + postHead + "\r\n",
+	postHead + "Transfer-Encoding: chunked\r\n\r\n2  \r\nhe\r\n0\r\n\r\n" + postHead + "\r\n",
 	postHead + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: 1\r\nB:\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n",
 	postHead + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	postHead + "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n0\r\n\r\n",
