--- a/internal/decision/forwarding/kept_results.go
+++ b/internal/decision/forwarding/cached_results.go
@@ -4,53 +4,53 @@
 
 import "time"
 
-// keptResults counts the results that are kept.
-type keptResults struct {
+// cachedResults counts the results that are kept.
+type cachedResults struct {
 	limit int // of bytes; 0: none
 	bytes int
 	order []Key // oldest first; some may be gone
 }
 
-// LimitKeptBytes limits the bytes of the results that are kept; 0: no limit. It is called before the first query.
-func (r *Receiver) LimitKeptBytes(limit int) { r.kept.limit = limit }
+// LimitCachedBytes limits the bytes of the results that are kept; 0: no limit. It is called before the first query.
+func (r *Receiver) LimitCachedBytes(limit int) { r.cached.limit = limit }
 
-// KeepResult records how many bytes the result of an ended query takes, which is kept until ForgetExpired returns its key. It returns the keys
+// CacheResult records how many bytes the result of an ended query takes, which is kept until ForgetExpired returns its key. It returns the keys
 // of the results that are not kept any longer, so that the others stay within the limit: the oldest ones, or the new one if it alone is
 // too large. Their queries stay remembered and count as failed if they arrive again, as they have run.
-func (r *Receiver) KeepResult(k Key, bytes int) (dropped []Key) {
+func (r *Receiver) CacheResult(k Key, bytes int) (dropped []Key) {
 	entry := r.remembered[k]
 	if entry == nil || entry.running {
 		return nil
 	}
-	limit := r.kept.limit
+	limit := r.cached.limit
 	if limit > 0 && bytes > limit {
 		return []Key{k}
 	}
-	for limit > 0 && r.kept.bytes+bytes > limit {
-		oldest := r.kept.order[0]
-		r.kept.order = r.kept.order[1:]
-		if kept := r.remembered[oldest]; kept != nil && kept.keptBytes > 0 {
-			r.kept.bytes -= kept.keptBytes
-			kept.keptBytes = 0
+	for limit > 0 && r.cached.bytes+bytes > limit {
+		oldest := r.cached.order[0]
+		r.cached.order = r.cached.order[1:]
+		if kept := r.remembered[oldest]; kept != nil && kept.cachedBytes > 0 {
+			r.cached.bytes -= kept.cachedBytes
+			kept.cachedBytes = 0
 			dropped = append(dropped, oldest)
 		}
 	}
-	entry.keptBytes = bytes
-	r.kept.bytes += bytes
-	r.kept.order = append(r.kept.order, k)
+	entry.cachedBytes = bytes
+	r.cached.bytes += bytes
+	r.cached.order = append(r.cached.order, k)
 	r.updateCounters()
 	return dropped
 }
 
-// compactKeptResults forgets the order of results that are not kept any longer.
-func (r *Receiver) compactKeptResults() {
-	kept := r.kept.order[:0]
-	for _, k := range r.kept.order {
-		if entry := r.remembered[k]; entry != nil && entry.keptBytes > 0 {
+// compactCachedResults forgets the order of results that are not kept any longer.
+func (r *Receiver) compactCachedResults() {
+	kept := r.cached.order[:0]
+	for _, k := range r.cached.order {
+		if entry := r.remembered[k]; entry != nil && entry.cachedBytes > 0 {
 			kept = append(kept, k)
 		}
 	}
-	r.kept.order = kept
+	r.cached.order = kept
 }
 
 // ForgetExpired forgets ended queries that can't be requested any more, and returns their keys, whose results may be dropped.
@@ -60,7 +60,7 @@
 	for k, entry := range r.remembered {
 		if !entry.running && entry.rememberedUntil <= now {
 			delete(r.remembered, k)
-			r.kept.bytes -= entry.keptBytes
+			r.cached.bytes -= entry.cachedBytes
 			expired = append(expired, k)
 		} else {
 			remaining[k.Origin] = true
@@ -73,7 +73,7 @@
 		}
 	}
 	if len(expired) > 0 {
-		r.compactKeptResults()
+		r.compactCachedResults()
 	}
 	r.updateCounters()
 	return expired
--- a/internal/decision/forwarding/kept_results_test.go
+++ b/internal/decision/forwarding/cached_results_test.go
@@ -11,11 +11,11 @@
 
 // In random sequences what is kept is within the limit and equals what the caller holds, each ended query stays remembered, and nothing is counted
 // once all is forgotten.
-func TestKeptResultsAreBounded(t *testing.T) {
+func TestCachedResultsAreBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const limit = 1000
 		r := NewReceiver(Policy{RemoteShare: 1, MaxRemembered: 1000})
-		r.LimitKeptBytes(limit)
+		r.LimitCachedBytes(limit)
 		held, running := map[Key]int{}, []Key{}
 		now := time.Duration(0)
 		for id := range uint64(rapid.IntRange(1, 200).Draw(t, "steps")) {
@@ -33,7 +33,7 @@
 					t.Fatal("a result need not be kept")
 				}
 				held[k] = rapid.IntRange(1, 1200).Draw(t, "bytes")
-				for _, dropped := range r.KeepResult(k, held[k]) {
+				for _, dropped := range r.CacheResult(k, held[k]) {
 					if _, there := held[dropped]; !there {
 						t.Fatalf("the result of query %d is dropped, which is not held", dropped.ID)
 					}
@@ -50,15 +50,15 @@
 			for _, bytes := range held {
 				sum += bytes
 			}
-			if sum != r.Counters.KeptBytes || sum > limit {
-				t.Fatalf("%d bytes are held, %d counted, at most %d", sum, r.Counters.KeptBytes, limit)
+			if sum != r.Counters.CachedBytes || sum > limit {
+				t.Fatalf("%d bytes are held, %d counted, at most %d", sum, r.Counters.CachedBytes, limit)
 			}
 		}
 		for _, k := range running {
 			r.QueryEnded(k)
 		}
-		if r.ForgetExpired(now + time.Hour); r.Counters.KeptBytes != 0 || len(r.kept.order) != 0 || r.Counters.Remembered != 0 {
-			t.Fatalf("in the end %+v, %d in order", r.Counters, len(r.kept.order))
+		if r.ForgetExpired(now + time.Hour); r.Counters.CachedBytes != 0 || len(r.cached.order) != 0 || r.Counters.Remembered != 0 {
+			t.Fatalf("in the end %+v, %d in order", r.Counters, len(r.cached.order))
 		}
 	})
 }
--- a/internal/decision/forwarding/receiver.go
+++ b/internal/decision/forwarding/receiver.go
@@ -64,8 +64,8 @@
 	rememberedUntil time.Duration
 	slots           int
 	running         bool
-	keepResult      bool // the result may be requested again
-	keptBytes       int  // of its result; 0: none is kept
+	cacheResult     bool // the result may be requested again
+	cachedBytes     int  // of its result; 0: none is kept
 }
 
 // Receiver makes the decisions at the site to which queries are forwarded.
@@ -76,22 +76,22 @@
 	linkEndedAt  map[Origin]time.Duration // when the newest link ended
 	slotsUsed    int                      // by remote queries
 	runningCount int
-	kept         keptResults
+	cached       cachedResults
 	lastShedAt   time.Duration // when a query of this site's clients (an own query) was last shed; 0: never
 	Counters     ReceiverCounters
 }
 
-// ReceiverCounters holds counts since the start of the process, except InFlight, Remembered and KeptBytes, which are the present numbers.
+// ReceiverCounters holds counts since the start of the process, except InFlight, Remembered and CachedBytes, which are the present numbers.
 type ReceiverCounters struct {
-	Received   uint64 `json:"Came"`
-	Admitted   uint64 `json:"Ran"`
-	Rejected   uint64 `json:"TurnedAway"`
-	Joined     uint64 `json:"Joined"`   // arrived again while running
-	Repeated   uint64 `json:"Repeated"` // arrived again after its end
-	Cancelled  uint64 `json:"CalledOff"`
-	InFlight   int    `json:"InHand"`
-	Remembered int    `json:"Remembered"`
-	KeptBytes  int    `json:"KeptBytes"` // of results that may be requested again
+	Received    uint64 `json:"Came"`
+	Admitted    uint64 `json:"Ran"`
+	Rejected    uint64 `json:"TurnedAway"`
+	Joined      uint64 `json:"Joined"`   // arrived again while running
+	Repeated    uint64 `json:"Repeated"` // arrived again after its end
+	Cancelled   uint64 `json:"CalledOff"`
+	InFlight    int    `json:"InHand"`
+	Remembered  int    `json:"Remembered"`
+	CachedBytes int    `json:"CachedBytes"` // of results that may be requested again
 }
 
 // NewReceiver returns a Receiver without links.
@@ -152,7 +152,7 @@
 		rememberedUntil: now + q.RemainingTime + lateMessagePeriod,
 		slots:           q.slots(),
 		running:         true,
-		keepResult:      q.Idempotency != decision.Idempotent,
+		cacheResult:     q.Idempotency != decision.Idempotent,
 	}
 	r.updateCounters()
 	return Admit
@@ -176,7 +176,7 @@
 }
 
 // QueryEnded is called when a remote query ends. It reports whether the result must be kept until ForgetExpired returns its key.
-func (r *Receiver) QueryEnded(k Key) (keepResult bool) {
+func (r *Receiver) QueryEnded(k Key) (cacheResult bool) {
 	entry := r.remembered[k]
 	if entry == nil || !entry.running {
 		return false
@@ -184,18 +184,18 @@
 	entry.running = false
 	r.slotsUsed -= entry.slots
 	r.runningCount--
-	if !entry.keepResult {
+	if !entry.cacheResult {
 		delete(r.remembered, k) // idempotent: it may run again if it arrives again
 	}
 	r.updateCounters()
-	return entry.keepResult
+	return entry.cacheResult
 }
 
 // CancelledByLinkLoss reports whether a query is to be cancelled because its link has ended. An idempotent query is cancelled, as the other
 // site runs it itself at once. The result of any other query may be requested over the next link.
 func (r *Receiver) CancelledByLinkLoss(k Key) bool {
 	entry := r.remembered[k]
-	return entry != nil && entry.running && !entry.keepResult
+	return entry != nil && entry.running && !entry.cacheResult
 }
 
 // Cancel is called when the other site cancels a query. It reports whether the query is running and has to be stopped.
@@ -211,7 +211,7 @@
 func (r *Receiver) updateCounters() {
 	r.Counters.Remembered = len(r.remembered)
 	r.Counters.InFlight = r.runningCount
-	r.Counters.KeptBytes = r.kept.bytes
+	r.Counters.CachedBytes = r.cached.bytes
 }
 
 // FreeShare returns the free share of the slots for remote queries, 0 to 1, of a broker with this capacity in slots.
--- a/internal/server/remote_query.go
+++ b/internal/server/remote_query.go
@@ -13,9 +13,9 @@
 
 // remoteQuery is a query that another site has forwarded to this one.
 type remoteQuery struct {
-	query  *activeQuery    // nil: it has ended
-	conn   *link.Conn      // the link over which it came last; nil: that link is down
-	result *link.KeptReply // nil: none is kept
+	query  *activeQuery      // nil: it has ended
+	conn   *link.Conn        // the link over which it came last; nil: that link is down
+	result *link.CachedReply // nil: none is kept
 }
 
 // handleAcceptedLink handles an event of a link that another site has dialled.
@@ -143,7 +143,7 @@
 		g.remote[k].conn = c
 	case forwarding.AlreadyEnded:
 		if r := g.remote[k]; r != nil && r.result != nil {
-			c.ReplyKept(r.result)
+			c.ReplyCached(r.result)
 		}
 	case forwarding.Admit:
 		r := &remoteQuery{conn: c, query: &activeQuery{Request: request, deadline: now + left}}
--- a/internal/server/remote_result.go
+++ b/internal/server/remote_result.go
@@ -22,40 +22,40 @@
 	}
 	keep := g.incoming.QueryEnded(k)
 	if keep {
-		keep = g.keepResult(k, r, out)
+		keep = g.cacheResult(k, r, out)
 	} else {
 		delete(g.remote, k)
 	}
 	switch {
 	case r.conn == nil: // the link is down
 	case keep:
-		r.conn.ReplyKept(r.result)
+		r.conn.ReplyCached(r.result)
 	default:
 		r.conn.Reply(out)
 	}
 }
 
-// limitKeptResults limits the bytes of all results that are kept.
-func (g *siteGateway) limitKeptResults(bytes int64) {
+// limitCachedResults limits the bytes of all results that are kept.
+func (g *siteGateway) limitCachedResults(bytes int64) {
 	if g != nil {
-		g.incoming.LimitKeptBytes(int(bytes))
+		g.incoming.LimitCachedBytes(int(bytes))
 	}
 }
 
-// keptResultBytes is the memory of a result that is kept, and of each of its answers, beside their values.
-const keptResultBytes = 256
+// cachedResultBytes is the memory of a result that is kept, and of each of its answers, beside their values.
+const cachedResultBytes = 256
 
-// keepResult keeps a result, and reports whether there is memory for it. Results that are not kept, now or any longer, are replaced by a failure, as
+// cacheResult keeps a result, and reports whether there is memory for it. Results that are not kept, now or any longer, are replaced by a failure, as
 // their queries have run.
-func (g *siteGateway) keepResult(k forwarding.Key, r *remoteQuery, out link.Reply) (kept bool) {
-	bytes := keptResultBytes
+func (g *siteGateway) cacheResult(k forwarding.Key, r *remoteQuery, out link.Reply) (kept bool) {
+	bytes := cachedResultBytes
 	for i := range out.ShardAnswers {
-		bytes += keptResultBytes + len(out.ShardAnswers[i].Value)
+		bytes += cachedResultBytes + len(out.ShardAnswers[i].Value)
 	}
 	r.query = nil
-	r.result = link.NewKeptReply(out)
+	r.result = link.NewCachedReply(out)
 	kept = true
-	for _, dropped := range g.incoming.KeepResult(k, bytes) {
+	for _, dropped := range g.incoming.CacheResult(k, bytes) {
 		g.remote[dropped].result.Replace(link.Reply{ID: dropped.ID, Kind: link.Failed})
 		kept = kept && dropped != k
 	}
--- a/internal/server/remote_result_test.go
+++ b/internal/server/remote_result_test.go
@@ -22,12 +22,12 @@
 
 // Guards against results of other sites' queries, and the queries themselves, being kept without a limit on their bytes until they can't be requested
 // any more.
-func TestResultsKeptForOtherSitesAreBounded(t *testing.T) {
+func TestResultsCachedForOtherSitesAreBounded(t *testing.T) {
 	const queries, size, limit = 400, 60 << 10, 1 << 20
 	l := newLoop(time.Now(), firstAnswerRouter{}, &decision.Settings{MaxInFlight: 1 << 20, MaxBatch: 8})
 	g := newGateway(forwarding.Policy{RemoteShare: 1, MaxRemembered: queries}, nil, nil, &terms.Terms{}, func() bool { return false })
 	l.useGateway(g)
-	g.limitKeptResults(limit)
+	g.limitCachedResults(limit)
 	before := liveHeap()
 	for id := range uint64(queries) {
 		k := forwarding.Key{Origin: forwarding.Origin{Name: "site-a/n0", Epoch: 1}, ID: id}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -178,7 +178,7 @@
 	t := &s.start.Terms
 	descriptors := s.shareDescriptors()
 	s.memory = newMemoryBudgets(s.start.Limits.MemoryMB, descriptors, s.siteListener != nil)
-	s.loop.gateway.limitKeptResults(s.memory.plan.RemoteResults)
+	s.loop.gateway.limitCachedResults(s.memory.plan.RemoteResults)
 	options := ingress.Options{
 		Limits: clientconn.Limits{
 			Connections: s.memory.plan.Connections.Clients,
--- a/internal/transport/httpwire/split_chunks.go
+++ b/internal/transport/httpwire/split_chunks.go
@@ -25,7 +25,7 @@
 		s.state, s.fields = inTrailer, 0
 		return nil
 	}
-	s.state, s.left = inChunk, int(size)
+	s.state, s.remaining = inChunk, int(size)
 	return nil
 }
 
--- a/internal/transport/httpwire/splitter.go
+++ b/internal/transport/httpwire/splitter.go
@@ -27,13 +27,13 @@
 // ambiguous end. It is given all bytes in order, in any pieces. It keeps a part of one line only. The zero value is ready for a connection's first
 // byte.
 type Splitter struct {
-	state   splitterState
-	line    [maxSplitLine]byte // the end of a request line, or the start of a header field
-	kept    int                // bytes of line
-	long    bool               // the header field is longer than what is kept
-	fields  int                // of the head, or of the trailer
-	framing framing
-	left    int // bytes of the body, or of the chunk
+	state     splitterState
+	line      [maxSplitLine]byte // the end of a request line, or the start of a header field
+	buffered  int                // bytes of line
+	long      bool               // the header field is longer than what is kept
+	fields    int                // of the head, or of the trailer
+	framing   framing
+	remaining int // bytes of the body, or of the chunk
 }
 
 // Next returns how many of the bytes belong to the present request, which is complete if not all do; the others are to be given again once the
@@ -41,9 +41,9 @@
 func (s *Splitter) Next(b []byte) (n int, err error) {
 	for n < len(b) {
 		if s.state == inBody || s.state == inChunk {
-			part := min(s.left, len(b)-n)
+			part := min(s.remaining, len(b)-n)
 			n += part
-			if s.left -= part; s.left == 0 && s.endPart() {
+			if s.remaining -= part; s.remaining == 0 && s.endPart() {
 				return n, nil
 			}
 			continue
@@ -77,18 +77,18 @@
 func (s *Splitter) keep(part []byte) {
 	if s.state == inRequestLine {
 		part = part[max(0, len(part)-maxSplitLine):]
-		drop := max(0, s.kept+len(part)-maxSplitLine)
-		s.kept = copy(s.line[:], s.line[drop:s.kept])
+		drop := max(0, s.buffered+len(part)-maxSplitLine)
+		s.buffered = copy(s.line[:], s.line[drop:s.buffered])
 	}
-	s.long = s.long || len(part) > maxSplitLine-s.kept
-	s.kept += copy(s.line[s.kept:], part)
+	s.long = s.long || len(part) > maxSplitLine-s.buffered
+	s.buffered += copy(s.line[s.buffered:], part)
 }
 
 // endLine evaluates a line, and reports whether it completes a request.
 func (s *Splitter) endLine() (complete bool, err error) {
-	line, hasCR := bytes.CutSuffix(s.line[:s.kept], []byte{'\r'})
+	line, hasCR := bytes.CutSuffix(s.line[:s.buffered], []byte{'\r'})
 	long := s.long
-	s.kept, s.long = 0, false
+	s.buffered, s.long = 0, false
 	if s.state >= inChunkSize && !hasCR && !long {
 		return false, messageErrorf(400, "line of a chunked body that does not end in CRLF")
 	}
@@ -144,7 +144,7 @@
 	case s.framing.chunked:
 		s.state = inChunkSize
 	case s.framing.length > 0:
-		s.state, s.left = inBody, s.framing.length
+		s.state, s.remaining = inBody, s.framing.length
 	default:
 		s.state = inRequestLine
 		return true, nil
--- a/internal/transport/httpwire/splitter_test.go
+++ b/internal/transport/httpwire/splitter_test.go
@@ -22,7 +22,7 @@
 		}
 		at += n
 		begun := len(bytes.Trim(b[start:at], "\r\n")) > 0
-		if begun && s.state == inRequestLine && s.kept == 0 {
+		if begun && s.state == inRequestLine && s.buffered == 0 {
 			ends = append(ends, at)
 			start = at
 		}
--- a/internal/transport/link/burst_test.go
+++ b/internal/transport/link/burst_test.go
@@ -36,7 +36,7 @@
 	for id := range uint64(burst) {
 		reply := kept
 		reply.ID = id
-		accepted.ReplyKept(NewKeptReply(reply))
+		accepted.ReplyCached(NewCachedReply(reply))
 	}
 	for id := range uint64(burst) {
 		if e := near.waitFor(t, "a reply", func(e Event) bool { return e.Reply != nil }); e.Reply.ID != id {
--- a/internal/transport/link/sending.go
+++ b/internal/transport/link/sending.go
@@ -14,22 +14,22 @@
 type outgoing struct {
 	query    *Query // nil: it is a reply
 	queuedAt time.Time
-	reply    *KeptReply
+	reply    *CachedReply
 	bytes    int // memory that only the queue holds
 }
 
-// KeptReply is a reply that its owner keeps beside the queue. It may be used from any goroutine.
-type KeptReply struct{ reply atomic.Pointer[Reply] }
+// CachedReply is a reply that its owner keeps beside the queue. It may be used from any goroutine.
+type CachedReply struct{ reply atomic.Pointer[Reply] }
 
-// NewKeptReply returns a reply to be kept.
-func NewKeptReply(r Reply) *KeptReply {
-	kept := &KeptReply{}
+// NewCachedReply returns a reply to be kept.
+func NewCachedReply(r Reply) *CachedReply {
+	kept := &CachedReply{}
 	kept.Replace(r)
 	return kept
 }
 
 // Replace replaces the reply, also where it waits to be written. So its owner can give up its memory.
-func (k *KeptReply) Replace(r Reply) { k.reply.Store(&r) }
+func (k *CachedReply) Replace(r Reply) { k.reply.Store(&r) }
 
 // entryBytes is the memory of a reply in the queue, beside that of its values.
 const entryBytes = 64
@@ -107,12 +107,12 @@
 	for i := range r.ShardAnswers {
 		bytes += entryBytes + len(r.ShardAnswers[i].Value)
 	}
-	c.enqueue(outgoing{reply: NewKeptReply(r), bytes: bytes})
+	c.enqueue(outgoing{reply: NewCachedReply(r), bytes: bytes})
 }
 
-// ReplyKept queues a reply that the caller keeps in any case. So its values take no memory of the queue, and all that were kept while no
+// ReplyCached queues a reply that the caller keeps in any case. So its values take no memory of the queue, and all that were kept while no
 // connection was up can be queued at once.
-func (c *Conn) ReplyKept(r *KeptReply) { c.enqueue(outgoing{reply: r, bytes: entryBytes}) }
+func (c *Conn) ReplyCached(r *CachedReply) { c.enqueue(outgoing{reply: r, bytes: entryBytes}) }
 
 // WakeWriter wakes the writer, which writes the queued frames.
 func (c *Conn) WakeWriter() { c.signalWriter() }
