--- a/internal/protocols/front/sru/front.go
+++ b/internal/protocols/front/sru/front.go
@@ -3,7 +3,7 @@
 // are of the same records, and a partial result is never presented as complete.
 //
 // Depends on config/operator, decision/pacing, decision/reclaim, decision/resultset, protocols/catalogue, protocols/front, protocols/sru, server,
-// transport/clientconn, transport/lookahead.
+// transport/clientconn, transport/httpwire, transport/lookahead, transport/membudget.
 // Concurrency: net/http calls ServeHTTP from many goroutines; a mutex guards the result sets.
 package sru
 
