SRU: memory of requests that a client has sent ahead is given back when it leaves

What callers saw: none yet. Change: Close releases the reader too, as the other two fronts do. net/http closes once more when its goroutine ends, so nothing reserved in between stays. Failing before: TestRequestsSentAheadGiveTheirMemoryBack, "still reserved: Used:2374" after 5 s; passes 20 of 20 after.

--- a/internal/protocols/front/sru/conns.go
+++ b/internal/protocols/front/sru/conns.go
@@ -167,6 +167,7 @@
 func (c *clientConn) Close() error {
 	c.close.Do(func() { c.set.Remove(c.state) })
 	c.request.end()
+	c.ahead.Release()
 	return c.Conn.Close()
 }
 
--- a/internal/protocols/front/sru/memory_test.go
+++ b/internal/protocols/front/sru/memory_test.go
@@ -104,3 +104,19 @@
 		t.Errorf("with %d clients, of a limit of %d bytes: %+v", clients, limit, f.sets.Counts)
 	}
 }
+
+// Guards against memory that stays reserved for requests which a client has sent ahead and left behind.
+func TestRequestsSentAheadGiveTheirMemoryBack(t *testing.T) {
+	b := newLimitedBroker()
+	f := startFront(t, b)
+	hold := make(chan struct{})
+	b.Update(func(b *archive.Broker) { b.Gate = hold })
+	client := dialRaw(t, f)
+	fmt.Fprint(client, strings.Repeat("GET /?query=cat HTTP/1.1\r\nHost: x\r\n\r\n", 80))
+	for b.Queries() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	client.Close()
+	b.waitGivenBack(t)
+	close(hold)
+}
